--- /dev/null
+++ b/cartdeal/benchlink/loop.py
@@ -0,0 +1,185 @@
+"""Feeds each batch's records to the instances they are for and writes their answers back."""
+
+from cartdeal.benchlink import grant, wire
+from cartdeal.choice import Balancer
+from cartdeal.terms import Listing, Load, State
+
+
+class Reply:
+    """The actions of one batch, in the order in which they were taken."""
+
+    def __init__(self):
+        self.records = bytearray()
+        self.tail = bytearray()
+
+    def text(self, code: int, instance: int, words: str):
+        data = words.encode()
+        self.records += wire.TEXT.pack(code, instance, len(self.tail), len(data))
+        self.tail += data
+
+    def framed(self, index: int) -> bytes:
+        length = len(self.records) + len(self.tail)
+        head = wire.REPLY_HEADER.pack(length, len(self.records) // wire.ACTION_SIZE, index)
+        frame = head + self.records + self.tail
+        self.records.clear()
+        self.tail.clear()
+        return frame
+
+
+class Seat:
+    """One instance: the host of its balancer, and the small indices of the servers it has heard of."""
+
+    def __init__(self, instance: int, reply: Reply, clock: int):
+        self.instance = instance
+        self.reply = reply
+        self.now = clock / 1e6
+        self.names: list[bytes] = []
+        self.indices: dict[bytes, int] = {}
+        self.columns: dict[str, int] = {}
+        self.balancer = None
+
+    def index(self, name: bytes) -> int:
+        if name not in self.indices:
+            self.indices[name] = len(self.names)
+            self.names.append(name)
+        return self.indices[name]
+
+    def load(self, count: int, values: tuple) -> Load | None:
+        if not count:
+            return None
+        said = [self.columns.get(name, count) for name in ("outstanding", "backlog")]
+        return Load(*(values[place] if place < count else None for place in said))
+
+    def shoot(self, lookup: int, server: int, until: float):
+        stop = max(0, round(until * 1e6))
+        self.reply.records += wire.DISPATCH.pack(16, self.instance, lookup, self.names[server], stop)
+
+    def turn_back(self, lookup: int, wait: float):
+        self.reply.records += wire.BUSY.pack(17, self.instance, lookup, round(wait * 1e6))
+
+    def terminate(self, lookup: int):
+        self.reply.records += wire.ABORT.pack(18, self.instance, lookup)
+
+    def cancel(self, lookup: int, shot: int):
+        self.reply.records += wire.WITHDRAW.pack(19, self.instance, lookup, shot)
+
+    def wake(self, token: int, delay: float):
+        self.reply.records += wire.TIMER.pack(20, self.instance, token, max(1, round(delay * 1e6)))
+
+    def probe(self, server: int):
+        self.reply.records += wire.POLL.pack(21, self.instance, self.names[server])
+
+    def note(self, text: str):
+        self.reply.text(24, self.instance, text)
+
+    def watch(self):
+        self.reply.records += wire.LISTEN.pack(26, self.instance, 1)
+
+
+class Loop:
+    def __init__(self):
+        self.reply = Reply()
+        self.seats: dict[int, Seat] = {}
+        self.tables: dict[int, list[Listing]] = {}
+
+    def answer(self, clock: int, index: int, count: int, body: bytes) -> bytes:
+        """Plays one batch. A broken decision is told as a fault of its instance, not guessed around."""
+        tail = count * wire.EVENT_SIZE
+        now = clock / 1e6
+        for place in range(0, tail, wire.EVENT_SIZE):
+            code = body[place]
+            if code == 20:
+                number, offset, size = wire.TABLE.unpack_from(body, place)
+                self.tables[number] = wire.entries(body, tail, offset, size)
+                continue
+            handle = self.HANDLERS.get(code)
+            if handle is None:
+                raise wire.Malformed(f"batch {index}: event code {code} is unknown")
+            instance = wire.STOP.unpack_from(body, place)[0]
+            if code == 16:
+                self.launched(instance, clock, body, place, tail)
+                continue
+            seat = self.seats.get(instance)
+            if seat is None:
+                raise wire.Malformed(f"batch {index}: instance {instance} was never launched")
+            seat.now = now
+            try:
+                handle(self, seat, body, place, tail)
+            except wire.Malformed:
+                raise
+            except Exception as trouble:
+                self.fault(instance, trouble)
+        return self.reply.framed(index)
+
+    def fault(self, instance: int, trouble: Exception):
+        self.reply.text(25, instance, f"{type(trouble).__name__}: {trouble}")
+
+    def launched(self, instance: int, clock: int, body: bytes, place: int, tail: int):
+        _, seed, offset, size = wire.LAUNCH.unpack_from(body, place)
+        text = wire.cut(body, tail, offset, size)
+        charter = grant.charter(seed, text)
+        seat = self.seats[instance] = Seat(instance, self.reply, clock)
+        seat.columns = grant.columns(text)
+        try:
+            seat.balancer = Balancer(seat, charter)
+        except Exception as trouble:
+            self.fault(instance, trouble)
+
+    def stopped(self, seat: Seat, body: bytes, place: int, tail: int):
+        del self.seats[seat.instance]
+
+    def inbound(self, seat: Seat, body: bytes, place: int, tail: int):
+        _, number, workload, tenant, key, limit, cost, bits = wire.INBOUND.unpack_from(body, place)
+        hint = cost / 1e6 if bits & 1 else 0.0
+        seat.balancer.taken(number, workload, tenant, key, limit / 1e6, hint, bool(bits & 2))
+
+    def ended(self, seat: Seat, body: bytes, place: int, tail: int):
+        _, number, name, code, took, shot, final, reported, *values = wire.ENDED.unpack_from(body, place)
+        outcome = wire.known(wire.OUTCOMES, code, "outcome")
+        load = seat.load(reported, values)
+        seat.balancer.shot_ended(number, seat.index(name), outcome, shot, took / 1e6, bool(final), load)
+
+    def head_received(self, seat: Seat, body: bytes, place: int, tail: int):
+        _, number, name, took, shot = wire.HEAD_RECEIVED.unpack_from(body, place)
+        seat.balancer.stream_started(number, seat.index(name), shot, took / 1e6)
+
+    def abandoned(self, seat: Seat, body: bytes, place: int, tail: int):
+        seat.balancer.abandoned(wire.ABANDONED.unpack_from(body, place)[1])
+
+    def elapsed(self, seat: Seat, body: bytes, place: int, tail: int):
+        seat.balancer.woken(wire.ELAPSED.unpack_from(body, place)[1])
+
+    def ping_result(self, seat: Seat, body: bytes, place: int, tail: int):
+        _, name, code, took, reported, *values = wire.PING_RESULT.unpack_from(body, place)
+        outcome = wire.known(wire.OUTCOMES, code, "outcome")
+        seat.balancer.probe_ended(seat.index(name), outcome, took / 1e6, seat.load(reported, values))
+
+    def peer(self, seat: Seat, body: bytes, place: int, tail: int):
+        _, sender, offset, size = wire.PEER.unpack_from(body, place)
+        seat.balancer.told(sender, wire.cut(body, tail, offset, size))
+
+    def roster_change(self, seat: Seat, body: bytes, place: int, tail: int):
+        _, _, how, number = wire.ROSTER_CHANGE.unpack_from(body, place)
+        if how == 2:
+            seat.balancer.watch_failed()
+            return
+        if how not in (0, 1, 3) or number not in self.tables:
+            raise wire.Malformed(f"a list change of kind {how} names list {number}")
+        lines = [line._replace(server=seat.index(line.name)) for line in self.tables[number]]
+        if how != 3:
+            here = {line.name for line in lines}
+            lines += [Listing(place, name, 0, 0, 0, State.GONE, 1.0, 0.0)
+                      for place, name in enumerate(seat.names) if name not in here]
+        seat.balancer.listed(lines, how != 1)
+
+    HANDLERS = {
+        16: launched, 17: head_received, 18: inbound, 19: peer, 21: ping_result, 22: ended,
+        23: roster_change, 24: abandoned, 25: elapsed, 26: stopped,
+    }
+
+
+def serve(source, sink):
+    loop = Loop()
+    for clock, index, count, body in wire.frames(source):
+        sink.write(loop.answer(clock, index, count, body))
+        sink.flush()
--- /dev/null
+++ b/cartdeal/choice.py
@@ -0,0 +1,462 @@
+"""All of an agent's decisions: which server a lookup's shot goes to, and when it is held or given up.
+
+Make one Balancer(host, charter) for each agent; `Host`, `Charter` and the other types are in terms.py. Then
+call one method for each thing that happens, with `host.now` set to its time: `listed` and `watch_failed` for
+the server list, `taken` and `abandoned` for lookups, `shot_ended` and `stream_started` for shots, `probe_ended`,
+`woken` and `told` for the rest. Each acts through the host before it returns; nothing else is kept outside.
+"""
+
+from math import exp, log
+from zlib import crc32
+
+from cartdeal.terms import Group, Outcome, Repeat, State
+
+SWEEP = 0.02          # how often what no event brings up is looked after
+FAILBACK = 10.0       # seconds between checks whether a zone ranked higher is fit again
+MEMORY = 6.0          # over how many seconds failures, rates and paces fade
+DOUBT = 2.0           # failures (fading) that may open a circuit ...
+FAILING = 0.3         # ... if they are at least this share of what ended
+FIRST_LIMIT = 4.0     # in flight at a server nothing is known of
+CUT = 0.75            # what a limit keeps of itself when it is cut
+CALM, LATE = 0.4, 0.6  # shares of the goal time: quicker lets a limit grow, slower cuts it
+YIELD = 1.5           # times the mean in flight at which a server yields
+HOLD = 0.3            # share of the goal time that a lookup may be held
+COLD_SHARE = 0.7      # share of its ramp that a cold server is sent
+MASK = (1 << 64) - 1
+
+
+class Fading:
+    """A sum whose parts fade away over time."""
+
+    __slots__ = ("amount", "at", "span")
+
+    def __init__(self, span, now):
+        self.amount, self.at, self.span = 0.0, now, span
+
+    def read(self, now):
+        if now > self.at:
+            self.amount *= exp((self.at - now) / self.span)
+            self.at = now
+        return self.amount
+
+    def add(self, now, more=1.0):
+        self.amount = self.read(now) + more
+
+
+class Lookup:
+    __slots__ = ("number", "workload", "key", "limit_at", "goal_at", "cost", "value", "shots", "out", "traces",
+                 "tried", "held_until", "streaming")
+
+    def __init__(self, number, workload, key, limit_at, goal_at, cost, value):
+        self.number, self.workload, self.key = number, workload, key
+        self.limit_at, self.goal_at, self.cost, self.value = limit_at, goal_at, cost, value
+        self.shots = 0
+        self.out = {}       # shots in flight: number -> server
+        self.traces = {}    # shots that are out or may have run: number -> (server, when sent)
+        self.tried = []
+        self.held_until = 0.0
+        self.streaming = False
+
+
+class Server:
+    """What this agent has seen of one server."""
+
+    def __init__(self, index, now):
+        self.index = index
+        self.state = State.GONE
+        self.started = 0.0
+        self.out = {}       # own shots in flight there: (lookup, shot) -> when sent
+        self.sends = Fading(MEMORY, now)
+        self.restart(now)
+
+    def restart(self, now):
+        self.limit, self.cut_at = FIRST_LIMIT, now
+        self.fails, self.wins = Fading(MEMORY, now), Fading(MEMORY, now)
+        self.pace = 0.0     # mean time to an answer
+        self.heard = now    # last answer
+        self.closed, self.silent, self.trial = True, False, False
+        self.retry_at, self.backoff = now, 1.0
+        self.grant, self.granted_at = 0.0, now
+
+
+class Balancer:
+    def __init__(self, host, charter):
+        self.host, self.charter = host, charter
+        now = host.now
+        self.counter = 0
+        self.servers = {}
+        self.lookups = {}
+        self.held = {}
+        self.zones = [[] for _ in range(charter.zones)]
+        others = [zone for zone in range(charter.zones) if zone != charter.own_zone]
+        others.sort(key=lambda zone: (mixed(crc32(b"%d/%d" % (charter.number, zone))), zone))
+        self.order = [charter.own_zone, *others]
+        self.standing = 0   # place in the order of the zone that lookups go to
+        self.failback_at = now + FAILBACK
+        self.like_rate = {}  # last known sends a second for each unit of weight to a warm server of a zone
+        self.arrivals, self.importance = Fading(MEMORY, now), Fading(MEMORY, now)
+        self.costs = Fading(MEMORY, now)
+        self.tenants = {}
+        self.pace, self.paced = Fading(MEMORY, now), Fading(MEMORY, now)
+        self.strain = Fading(1.0, now)  # lookups that found no room lately
+        self.watching = not charter.must_ask
+        self.watch_at, self.watch_backoff = now, 0.5
+        self.sweep(now)
+
+    def chance(self):
+        self.counter += 1
+        return (crc32(b"%d/%d" % (self.charter.seed, self.counter)) + 0.5) / 4294967296
+
+    # The server list
+
+    def listed(self, lines, fresh):
+        now = self.host.now
+        if fresh:
+            self.watching, self.watch_backoff = True, 0.5
+        for line in lines:
+            server = self.servers.get(line.server)
+            if server is None:
+                if line.state is State.GONE:
+                    continue
+                server = self.servers[line.server] = Server(line.server, now)
+                server.hash = mixed(crc32(line.name))
+                server.started = line.started
+                server.grant = self.chance()
+            if line.state is not State.GONE:
+                server.zone, server.model, server.cell = line.zone, line.model, line.cell
+                server.weight = max(line.weight, 1e-3)
+            if line.started > server.started:
+                server.started = line.started
+                server.restart(now)
+                # Agents that all begin with a whole shot to grant would meet at the cold server in one burst.
+                server.grant = self.chance()
+            server.state = line.state
+        for zone, members in enumerate(self.zones):
+            members[:] = [s for s in self.servers.values() if s.state is State.READY and s.zone == zone]
+        self.check_zones(now)
+        self.release(now)
+
+    def watch_failed(self):
+        self.watching = False
+        self.watch_at = self.host.now + self.watch_backoff * (0.5 + self.chance())
+        self.watch_backoff = min(self.watch_backoff * 2, self.charter.ask_every / 3)
+
+    def keep_watch(self, now):
+        # Without a watch, an agent that has long not asked is held to know what it never heard: ask again in time.
+        if not self.watching and now >= self.watch_at:
+            self.host.watch()
+            self.watch_at = now + self.charter.ask_every / 3
+
+    # Lookups
+
+    def taken(self, number, workload, tenant, key, limit_at, cost, repeat):
+        now, kind = self.host.now, self.charter.workloads[workload]
+        self.arrivals.add(now)
+        self.costs.add(now, cost)
+        relative = cost * self.arrivals.amount / self.costs.amount if cost else 1.0
+        value = kind.importance * (relative if self.charter.paid_by_work else 1.0)
+        self.importance.add(now, value)
+        value *= self.within_share(tenant, now)
+        lookup = Lookup(number, kind, key or int(self.chance() * MASK), limit_at,
+                        min(limit_at, now + kind.goal_time), relative, value)
+        self.lookups[number] = lookup
+        self.place(lookup, now)
+
+    def within_share(self, tenant, now):
+        """1 for a lookup within its tenant's share of this agent's traffic, less for the part beyond."""
+        tenants = self.charter.tenants
+        if not tenants:
+            return 1.0
+        seen = self.tenants.setdefault(tenant, Fading(MEMORY, now))
+        seen.add(now)
+        share = tenants[tenant].quota / max(sum(each.quota for each in tenants), 1e-9)
+        beyond = 1.0 - 1.1 * share * self.arrivals.amount / seen.amount
+        return self.charter.beyond_share if self.chance() < beyond else 1.0
+
+    def place(self, lookup, now, further=False):
+        """The ordinary path: the zone stood on, its best server by rendezvous; else another zone; else hold."""
+        server = self.pick(self.zones[self.order[self.standing]], lookup, now)
+        if server is None:
+            self.strain.add(now)
+            if self.worth_crossing(lookup, now):
+                for place, zone in enumerate(self.order):
+                    if place != self.standing and self.passes(zone):
+                        server = self.pick(self.zones[zone], lookup, now)
+                        if server is not None:
+                            break
+        if server is not None:
+            self.shoot(lookup, server, now)
+        elif further or lookup.traces:
+            self.give_up(lookup, now)
+        elif not lookup.held_until:
+            lookup.held_until = min(now + HOLD * lookup.workload.goal_time, lookup.limit_at)
+            self.held[lookup.number] = lookup
+        return server is not None
+
+    def pick(self, members, lookup, now):
+        """The top server by weighted rendezvous that has room and isn't well over the mean in flight."""
+        usable = [s for s in members if s.closed or self.may_try(s, lookup, now)]
+        if not usable and members is self.zones[self.order[self.standing]] and not self.any_passes():
+            usable = members
+        if not usable:
+            return None
+        mean = sum(len(s.out) for s in usable) / sum(s.weight for s in usable)
+        key, best, top, spare = lookup.key, None, -1.0, None
+        for s in usable:
+            busy = len(s.out)
+            if s in lookup.tried or busy >= s.limit or not self.within_group(lookup, s, now):
+                continue
+            if now - s.started < self.charter.cold_for and s.started and not self.granted(s, lookup, now):
+                continue
+            score = s.weight / -log((mixed(key ^ s.hash) + 1) / 1.8446744073709552e19)
+            if busy >= 2 and busy + 1 > max(2.0, YIELD * mean * s.weight):
+                if spare is None or busy / s.weight < len(spare.out) / spare.weight:
+                    spare = s
+            elif score > top:
+                best, top = s, score
+        return best or spare
+
+    def worth_crossing(self, lookup, now):
+        mean = self.importance.amount / max(self.arrivals.amount, 1e-9)
+        return lookup.value * 0.6 > self.charter.crossing_fee * mean
+
+    def may_try(self, server, lookup, now):
+        """Open circuits regain trust by one trial lookup at a time, idempotent ones first."""
+        if not server.trial or server.out:
+            return False
+        return lookup.workload.repeat is Repeat.IDEMPOTENT or now > server.retry_at
+
+    def granted(self, server, lookup, now):
+        """Whether a cold server's ramp allows one more: rule 4 holds if every agent keeps to its own ramp."""
+        age = now - server.started
+        ramp = self.charter.cold_from + (1 - self.charter.cold_from) * min(1.0, age / self.charter.cold_for)
+        rate = COLD_SHARE * ramp * server.weight * self.like(server.zone, now)
+        # Counted in short spans: what was not used lately is no leave for a burst.
+        most = max(1.0, rate * self.charter.cold_span / 4)
+        server.grant = min(most, server.grant + rate * (now - server.granted_at))
+        server.granted_at = now
+        return server.grant >= 1.0 and lookup.cost < 3.0
+
+    def like(self, zone, now):
+        warm = [s for s in self.zones[zone] if s.closed and now - s.started >= self.charter.cold_for]
+        if warm:
+            sent = sum(s.sends.read(now) for s in warm) / MEMORY
+            self.like_rate[zone] = sent / sum(s.weight for s in warm)
+        elif zone not in self.like_rate:
+            everywhere = sum(s.weight for members in self.zones for s in members)
+            return self.arrivals.read(now) / MEMORY / everywhere
+        return self.like_rate[zone]
+
+    def shoot(self, lookup, server, now):
+        shot, lookup.shots = lookup.shots, lookup.shots + 1
+        lookup.out[shot] = server
+        lookup.traces[shot] = (server, now)
+        lookup.tried.append(server)
+        self.held.pop(lookup.number, None)
+        if not server.out:
+            server.heard = now
+        server.out[lookup.number, shot] = now
+        server.sends.add(now)
+        server.grant -= lookup.cost
+        self.host.shoot(lookup.number, server.index, lookup.limit_at)
+
+    def within_group(self, lookup, server, now):
+        """Whether a shot there could not cause a second effect."""
+        kind = lookup.workload
+        if not lookup.traces or kind.repeat is Repeat.IDEMPOTENT:
+            return True
+        if kind.repeat is Repeat.UNREPEATABLE:
+            return False
+        for past, sent in lookup.traces.values():
+            if now > sent + kind.window - 0.05:
+                return False
+            if kind.group is Group.ZONE and past.zone != server.zone:
+                return False
+            if kind.group is Group.CELL and past.cell != server.cell:
+                return False
+        return True
+
+    def give_up(self, lookup, now):
+        kind = lookup.workload
+        safe = not lookup.traces or kind.repeat is Repeat.IDEMPOTENT or (
+            kind.repeat is Repeat.DEDUPLICATED and kind.group is Group.ALL
+            and all(now < sent + kind.window for _, sent in lookup.traces.values()))
+        if safe:
+            wait = min(self.charter.advises_wait, kind.goal_time * (0.2 + 0.3 * self.chance()))
+            self.host.turn_back(lookup.number, wait)
+        else:
+            self.host.terminate(lookup.number)
+        self.forget(lookup.number)
+
+    def forget(self, number):
+        self.held.pop(number, None)
+        return self.lookups.pop(number, None)
+
+    def abandoned(self, number):
+        self.forget(number)
+
+    def release(self, now):
+        """Offers room to held lookups, the most important first."""
+        misses = 0
+        for lookup in sorted(self.held.values(), key=lambda each: -each.value):
+            misses += not self.place(lookup, now)
+            if misses > 2:
+                break
+
+    # Shots and probes
+
+    def shot_ended(self, number, index, outcome, shot, took, finished, load):
+        now, server = self.host.now, self.servers[index]
+        server.out.pop((number, shot), None)
+        lookup = self.lookups.get(number)
+        self.learn(server, outcome, took, lookup, now)
+        if lookup is not None:
+            lookup.out.pop(shot, None)
+            if outcome.never_ran:
+                lookup.traces.pop(shot, None)
+            if finished:
+                self.forget(number)
+            elif not lookup.out:
+                self.follow_up(lookup, now)
+        if self.held:
+            self.release(now)
+
+    def follow_up(self, lookup, now):
+        """A shot ended without an answer: up to two further ones, none under overload."""
+        if lookup.shots < min(3, self.charter.most_shots) and now < lookup.goal_at and not lookup.streaming \
+                and (self.strain.read(now) < 2.0 or not lookup.traces):
+            self.place(lookup, now, further=True)
+        else:
+            self.give_up(lookup, now)
+
+    def stream_started(self, number, index, shot, took):
+        if number in self.lookups:
+            self.lookups[number].streaming = True
+
+    def learn(self, server, outcome, took, lookup, now):
+        if outcome is Outcome.CANCELLED or outcome is Outcome.NEVER_SENT:
+            return
+        goal = lookup.workload.goal_time if lookup else took * 2
+        if outcome is Outcome.COMPLETED:
+            server.heard = now
+            server.wins.add(now)
+            server.pace += 0.2 * (took - server.pace) if server.pace else took
+            self.pace.add(now, took)
+            self.paced.add(now)
+            if server.silent or server.trial and server.wins.amount > 1.5:
+                self.close(server, now)
+            if took < CALM * goal and len(server.out) + 1 > 0.7 * server.limit:
+                server.limit += 1.0 / server.limit
+            elif took > LATE * goal and lookup and lookup.cost < 2.0:
+                self.cut(server, now)
+        elif outcome is Outcome.FULL:
+            self.cut(server, now)
+        else:
+            server.fails.add(now)
+            if outcome is Outcome.TIMED_OUT:
+                self.cut(server, now)
+            fails = server.fails.amount
+            if server.trial or fails >= DOUBT * 0.95 and fails > FAILING * (fails + server.wins.read(now)):
+                self.open(server, now)
+
+    def cut(self, server, now):
+        if now >= server.cut_at:
+            server.limit = max(1.0, server.limit * CUT)
+            server.cut_at = now + max(0.1, server.pace)
+
+    def open(self, server, now):
+        if not server.closed and not server.trial:
+            return
+        server.backoff = 1.0 if server.closed else min(8.0, server.backoff * 2)
+        server.closed = server.trial = False
+        server.retry_at = now + server.backoff * (0.75 + 0.5 * self.chance())
+        self.check_zones(now)
+
+    def close(self, server, now):
+        server.closed, server.silent, server.trial = True, False, False
+        server.fails = Fading(MEMORY, now)
+
+    def probe_ended(self, index, outcome, took, load):
+        now, server = self.host.now, self.servers[index]
+        if server.closed:
+            return
+        if outcome is Outcome.COMPLETED:
+            server.trial, server.wins, server.fails = True, Fading(MEMORY, now), Fading(MEMORY, now)
+            server.retry_at = now + 1.0
+        else:
+            server.backoff = min(8.0, server.backoff * 2)
+            server.retry_at = now + server.backoff * (0.75 + 0.5 * self.chance())
+
+    def told(self, sender, words):
+        """Agents need no words from each other."""
+
+    # Zones
+
+    def passes(self, zone):
+        members = self.zones[zone]
+        return bool(members) and 2 * sum(s.closed or s.trial for s in members) >= len(members)
+
+    def any_passes(self):
+        return any(self.passes(zone) for zone in self.order)
+
+    def check_zones(self, now):
+        """Failover: away from a zone that fails, to the next that passes; none passing, stay."""
+        if not self.passes(self.order[self.standing]):
+            for place, zone in enumerate(self.order):
+                if self.passes(zone):
+                    self.standing = place
+                    self.failback_at = now + FAILBACK
+                    break
+
+    # What no event brings up
+
+    def woken(self, token):
+        now = self.host.now
+        self.sweep(now)
+
+    def sweep(self, now):
+        self.host.wake(0, SWEEP)
+        self.keep_watch(now)
+        if now >= self.failback_at:
+            self.failback_at = now + FAILBACK
+            self.standing = next((p for p, zone in enumerate(self.order[:self.standing]) if self.passes(zone)),
+                                 self.standing)
+        for server in self.servers.values():
+            if server.out and server.closed:
+                self.listen_for(server, now)
+            if not server.closed and not server.trial and now >= server.retry_at and server.state is State.READY:
+                server.retry_at = now + 2.0
+                if self.charter.may_probe:
+                    self.host.probe(server.index)
+                else:
+                    server.trial = True
+        if self.held:
+            for lookup in [each for each in self.held.values() if now >= each.held_until]:
+                self.give_up(lookup, now)
+            self.release(now)
+
+    def listen_for(self, server, now):
+        """A server that has gone silent is left before its shots end."""
+        sent = next(iter(server.out.values()))
+        quiet = now - max(sent, server.heard)
+        usual = self.pace.read(now) / max(self.paced.read(now), 0.1)
+        if usual and quiet > max(0.25, usual * (4.0 if len(server.out) < 3 else 2.5)):
+            server.silent = True
+            server.fails.add(now, DOUBT)
+            self.open(server, now)
+            self.rescue(server, now)
+
+    def rescue(self, server, now):
+        """Takes back the lookups waiting at a silent server where another shot can do no harm."""
+        for number, shot in list(server.out):
+            lookup = self.lookups.get(number)
+            if lookup and shot in lookup.out and self.charter.may_cancel and now < lookup.goal_at \
+                    and lookup.workload.repeat is not Repeat.UNREPEATABLE and not lookup.streaming:
+                self.host.cancel(number, shot)
+
+
+def mixed(value):
+    """Spreads a number over 64 bits; crc32 alone would rank all servers alike for keys that differ alike."""
+    value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9 & MASK
+    value = (value ^ (value >> 27)) * 0x94D049BB133111EB & MASK
+    return value ^ (value >> 31)
--- /dev/null
+++ b/cartdeal/terms.py
@@ -0,0 +1,115 @@
+"""What the decisions and whoever drives them agree on: the host's duties and the shared types."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+
+class Repeat(Enum):
+    IDEMPOTENT = "idempotent"
+    DEDUPLICATED = "deduplicated"
+    UNREPEATABLE = "unrepeatable"
+
+
+class Group(Enum):
+    """The servers that recognise a repeat of a deduplicated lookup."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Outcome(Enum):
+    COMPLETED = "completed"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    NOT_CONNECTED = "not connected"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NEVER_SENT = "never sent"
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Outcome.FULL, Outcome.NOT_CONNECTED, Outcome.NEVER_SENT)
+
+
+class Workload(NamedTuple):
+    repeat: Repeat
+    group: Group
+    window: float
+    goal_time: float
+    importance: float
+    late_share: float
+
+
+class Tenant(NamedTuple):
+    quota: float
+
+
+class Listing(NamedTuple):
+    """One line of the server list. `server` is the small index, `name` the id as every agent knows it."""
+
+    server: int
+    name: bytes
+    zone: int
+    model: int
+    cell: int
+    state: State
+    weight: float
+    started: float
+
+
+class Load(NamedTuple):
+    """What a server says of itself; None where it does not say."""
+
+    held: float | None
+    waiting: float | None
+
+
+@dataclass(slots=True, frozen=True)
+class Charter:
+    """What a deployment grants an agent and asks of it."""
+
+    seed: int
+    number: int
+    agents: int
+    zones: int
+    own_zone: int
+    workloads: tuple[Workload, ...]
+    tenants: tuple[Tenant, ...]
+    beyond_share: float
+    paid_by_work: bool
+    crossing_fee: float
+    most_shots: int
+    twin_shots: bool
+    may_cancel: bool
+    may_probe: bool
+    probes_tell_load: bool
+    advises_wait: float
+    must_ask: bool
+    ask_every: float
+    cold_from: float
+    cold_for: float
+    cold_span: float
+
+
+class Host(Protocol):
+    """What an agent can do. `now` is the time of the event being handled, in seconds."""
+
+    now: float
+
+    def shoot(self, lookup: int, server: int, until: float) -> None: ...
+    def turn_back(self, lookup: int, wait: float) -> None: ...
+    def terminate(self, lookup: int) -> None: ...
+    def cancel(self, lookup: int, shot: int) -> None: ...
+    def probe(self, server: int) -> None: ...
+    def watch(self) -> None: ...
+    def wake(self, token: int, delay: float) -> None: ...
+    def note(self, text: str) -> None: ...
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,8 @@
+# Makes .venv afresh whenever the pinned requirements differ from those it was made with.
+set -e
+if ! cmp -s requirements.txt .venv/made-with 2>/dev/null; then
+    rm -rf .venv
+    python3 -m venv .venv
+    .venv/bin/pip -q install -r requirements.txt
+    cp requirements.txt .venv/made-with
+fi
