Share the first in-flight limit among the agents

Conclusion: right but not enough; limits grow back into the jam because growth looks at the goal time only.

--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -16,7 +16,7 @@
 MEMORY = 6.0          # over how many seconds failures, rates and paces fade
 DOUBT = 2.0           # failures (fading) that may open a circuit ...
 FAILING = 0.3         # ... if they are at least this share of what ended
-FIRST_LIMIT = 4.0     # in flight at a server nothing is known of
+SHARED_LIMIT = 8.0    # in flight at a server nothing is known of, from all agents
 CUT = 0.75            # what a limit keeps of itself when it is cut
 CALM, LATE = 0.4, 0.6  # shares of the goal time: quicker lets a limit grow, slower cuts it
 YIELD = 1.5           # times the mean in flight at which a server yields
@@ -61,8 +61,8 @@
 class Server:
     """What this agent has seen of one server."""
 
-    def __init__(self, index, now):
-        self.index = index
+    def __init__(self, index, limit, now):
+        self.index, self.first_limit = index, limit
         self.state = State.GONE
         self.started = 0.0
         self.out = {}       # own shots in flight there: (lookup, shot) -> when sent
@@ -70,7 +70,7 @@
         self.restart(now)
 
     def restart(self, now):
-        self.limit, self.cut_at = FIRST_LIMIT, now
+        self.limit, self.cut_at = self.first_limit, now
         self.fails, self.wins = Fading(MEMORY, now), Fading(MEMORY, now)
         self.pace = 0.0     # mean time to an answer
         self.heard = now    # last answer
@@ -83,6 +83,8 @@
     def __init__(self, host, charter):
         self.host, self.charter = host, charter
         now = host.now
+        # Each agent beginning with a whole server's room for itself would jam the servers together at the start.
+        self.first_limit = max(1.0, min(4.0, SHARED_LIMIT / charter.agents))
         self.counter = 0
         self.servers = {}
         self.lookups = {}
@@ -118,7 +120,7 @@
             if server is None:
                 if line.state is State.GONE:
                     continue
-                server = self.servers[line.server] = Server(line.server, now)
+                server = self.servers[line.server] = Server(line.server, self.first_limit, now)
                 server.hash = mixed(crc32(line.name))
                 server.started = line.started
                 server.grant = self.chance()
