--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -18,7 +18,7 @@
 FAILING = 0.3         # ... if they are at least this share of what ended
 SHARED_LIMIT = 8.0    # in flight at a server nothing is known of, from all agents
 CUT = 0.75            # what a limit keeps of itself when it is cut
-CALM, LATE = 0.4, 0.6  # shares of the goal time: quicker lets a limit grow, slower cuts it
+CALM, LATE = 0.2, 0.35  # shares of the goal time: quicker lets a limit grow, slower cuts it
 YIELD = 1.5           # times the mean in flight at which a server yields
 HOLD = 0.3            # share of the goal time that a lookup may be held
 COLD_SHARE = 0.7      # share of its ramp that a cold server is sent
@@ -191,7 +191,8 @@
         elif further or lookup.traces:
             self.give_up(lookup, now)
         elif not lookup.held_until:
-            lookup.held_until = min(now + HOLD * lookup.workload.goal_time, lookup.limit_at)
+            # A client's late try can end sooner than the hold: the sweep must find it in time to answer.
+            lookup.held_until = min(now + HOLD * lookup.workload.goal_time, lookup.limit_at - 2 * SWEEP)
             self.held[lookup.number] = lookup
         return server is not None
 
