--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -101,6 +101,7 @@
         self.tenants = {}
         self.pace, self.paced = Fading(MEMORY, now), Fading(MEMORY, now)
         self.strain = Fading(1.0, now)  # lookups that found no room lately
+        self.met, self.missed = Fading(2.0, now), Fading(2.0, now)  # held lookups that did and didn't find room
         self.watching = not charter.must_ask
         self.watch_at, self.watch_backoff = now, 0.5
         self.sweep(now)
@@ -175,12 +176,12 @@
         beyond = 1.0 - 1.1 * share * self.arrivals.amount / seen.amount
         return self.charter.beyond_share if self.chance() < beyond else 1.0
 
-    def place(self, lookup, now, further=False):
+    def place(self, lookup, now, further=False, last=False):
         """The ordinary path: the zone stood on, its best server by rendezvous; else another zone; else hold."""
         server = self.pick(self.zones[self.order[self.standing]], lookup, now)
         if server is None:
             self.strain.add(now)
-            if self.worth_crossing(lookup, now):
+            if self.worth_crossing(lookup, now, further or last):
                 for place, zone in enumerate(self.order):
                     if place != self.standing and self.passes(zone):
                         server = self.pick(self.zones[zone], lookup, now)
@@ -219,9 +220,13 @@
                 best, top = s, score
         return best or spare
 
-    def worth_crossing(self, lookup, now):
+    def worth_crossing(self, lookup, now, last):
+        """Whether what the next zone adds to the chance of an answer is worth its fee. While it can still be held,
+        a lookup has the chance at home that held ones had lately."""
+        met, missed = self.met.read(now), self.missed.read(now)
+        stay = 0.0 if last else met / (met + missed + 0.1)
         mean = self.importance.amount / max(self.arrivals.amount, 1e-9)
-        return lookup.value * 0.6 > self.charter.crossing_fee * mean
+        return lookup.value * (1.0 - stay) > self.charter.crossing_fee * mean
 
     def may_try(self, server, lookup, now):
         """Open circuits regain trust by one trial lookup at a time, idempotent ones first."""
@@ -255,7 +260,8 @@
         lookup.out[shot] = server
         lookup.traces[shot] = (server, now)
         lookup.tried.append(server)
-        self.held.pop(lookup.number, None)
+        if self.held.pop(lookup.number, None) and self.order[self.standing] == server.zone:
+            self.met.add(now)
         if not server.out:
             server.heard = now
         server.out[lookup.number, shot] = now
@@ -435,7 +441,9 @@
                     server.trial = True
         if self.held:
             for lookup in [each for each in self.held.values() if now >= each.held_until]:
-                self.give_up(lookup, now)
+                self.missed.add(now)
+                if not self.place(lookup, now, last=True):
+                    self.give_up(lookup, now)
             self.release(now)
 
     def listen_for(self, server, now):
