--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -70,7 +70,7 @@
         self.restart(now)
 
     def restart(self, now):
-        self.limit, self.cut_at = self.first_limit, now
+        self.limit, self.cut_at, self.rest_until = self.first_limit, now, now
         self.fails, self.wins = Fading(MEMORY, now), Fading(MEMORY, now)
         self.pace = 0.0     # mean time to an answer
         self.heard = now    # last answer
@@ -208,7 +208,7 @@
         key, best, top, spare = lookup.key, None, -1.0, None
         for s in usable:
             busy = len(s.out)
-            if s in lookup.tried or busy >= s.limit or not self.within_group(lookup, s, now):
+            if s in lookup.tried or busy >= s.limit or now < s.rest_until or not self.within_group(lookup, s, now):
                 continue
             if now - s.started < self.charter.cold_for and s.started and not self.granted(s, lookup, now):
                 continue
@@ -360,6 +360,8 @@
                 self.cut(server, now)
         elif outcome is Outcome.FULL:
             self.cut(server, now)
+            # One that refuses at once always looks idle, and would draw ever more shots.
+            server.rest_until = now + max(0.1, server.pace)
         else:
             server.fails.add(now)
             if outcome is Outcome.TIMED_OUT:
