--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -17,7 +17,9 @@
 DOUBT = 2.0           # failures (fading) that may open a circuit ...
 FAILING = 0.3         # ... if they are at least this share of what ended
 SHARED_LIMIT = 8.0    # in flight at a server nothing is known of, from all agents
+LEAST = 0.25          # a limit under one means pauses between single shots
 CUT = 0.75            # what a limit keeps of itself when it is cut
+TOO_LATE = 0.6        # share of the goal time: slower lets a limit fall under one
 CALM, LATE = 0.15, 0.25  # shares of the goal time: quicker lets a limit grow, slower cuts it
 YIELD = 1.5           # times the mean in flight at which a server yields
 HOLD = 0.3            # share of the goal time that a lookup may be held
@@ -208,7 +210,7 @@
         key, best, top, spare = lookup.key, None, -1.0, None
         for s in usable:
             busy = len(s.out)
-            if s in lookup.tried or busy >= s.limit or now < s.rest_until or not self.within_group(lookup, s, now):
+            if s in lookup.tried or busy >= max(1.0, s.limit) or now < s.rest_until or not self.within_group(lookup, s, now):
                 continue
             if now - s.started < self.charter.cold_for and s.started and not self.granted(s, lookup, now):
                 continue
@@ -354,10 +356,13 @@
             self.paced.add(now)
             if server.silent or server.trial and server.wins.amount > 1.5:
                 self.close(server, now)
+            if server.limit < 1.0:
+                # One shot from each of many agents can be too much for a server: take turns with the others.
+                server.rest_until = now + server.pace * (1.0 / server.limit - 1.0)
             if took < CALM * goal and len(server.out) + 1 > 0.7 * server.limit:
-                server.limit += 1.0 / server.limit
+                server.limit += min(1.0 / server.limit, server.limit / 4)
             elif took > LATE * goal and lookup and lookup.cost < 2.0:
-                self.cut(server, now)
+                self.cut(server, now, LEAST if took > TOO_LATE * goal else 1.0)
         elif outcome is Outcome.FULL:
             self.cut(server, now)
             # One that refuses at once always looks idle, and would draw ever more shots.
@@ -370,9 +375,9 @@
             if server.trial or fails >= DOUBT * 0.95 and fails > FAILING * (fails + server.wins.read(now)):
                 self.open(server, now)
 
-    def cut(self, server, now):
+    def cut(self, server, now, least=1.0):
         if now >= server.cut_at:
-            server.limit = max(1.0, server.limit * CUT)
+            server.limit = max(min(server.limit, least), server.limit * CUT)
             server.cut_at = now + max(0.1, server.pace)
 
     def open(self, server, now):
