--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -71,8 +71,8 @@
     lines = []
     for kind, outcome, pause in [
             (1, Outcome.TIMED_OUT, 0), (1, Outcome.FULL, 0), (1, Outcome.CANCELLED, 0),
-            (1, Outcome.NOT_CONNECTED, 0), (2, Outcome.ERROR, 0), (2, Outcome.ERROR, 2.5), (3, Outcome.RESET, 0), (3, Outcome.RESET, 2.5),
-            (0, Outcome.ERROR, 0)]:
+            (1, Outcome.NOT_CONNECTED, 0), (2, Outcome.ERROR, 0), (2, Outcome.ERROR, 2.5),
+            (3, Outcome.RESET, 0), (3, Outcome.RESET, 2.5), (0, Outcome.ERROR, 0)]:
         scene = Scene(may_cancel=False, may_probe=False)
         scene.take(1, kind, limit=9.0)
         scene.balancer.lookups[1].goal_at += 9
