Begin limits under one where agents are many; count a client's repeat half

Cause: a repeat has spent its goal time at its first try, and served first it makes new lookups late as well.

--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -86,7 +86,7 @@
         self.host, self.charter = host, charter
         now = host.now
         # Agents that each begin with a whole server's room for themselves jam it together at the start.
-        self.first_limit = max(1.0, min(4.0, SHARED_LIMIT / charter.agents))
+        self.first_limit = max(LEAST, min(4.0, SHARED_LIMIT / charter.agents))
         self.counter = 0
         self.servers = {}
         self.lookups = {}
@@ -161,7 +161,8 @@
         relative = cost * self.arrivals.amount / self.costs.amount if cost else 1.0
         value = kind.importance * (relative if self.charter.paid_by_work else 1.0)
         self.importance.add(now, value)
-        value *= self.within_share(tenant, now)
+        # A repeat has spent part of its goal time at its first try: served before new ones it makes them late too.
+        value *= self.within_share(tenant, now) * (0.5 if repeat else 1.0)
         lookup = Lookup(number, kind, key or int(self.chance() * MASK), limit_at,
                         min(limit_at, now + kind.goal_time), relative, value)
         self.lookups[number] = lookup
@@ -366,7 +367,7 @@
             elif took > LATE * goal and lookup and lookup.cost < 2.0:
                 self.cut(server, now, LEAST if took > TOO_LATE * goal else 1.0)
         elif outcome is Outcome.FULL:
-            self.cut(server, now)
+            self.cut(server, now, LEAST)
             # One that refuses at once always looks idle, and would draw ever more shots.
             server.rest_until = now + max(0.1, server.pace)
         else:
