--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -161,7 +161,7 @@
         relative = cost * self.arrivals.amount / self.costs.amount if cost else 1.0
         value = kind.importance * (relative if self.charter.paid_by_work else 1.0)
         self.importance.add(now, value)
-        # A repeat has spent part of its goal time at its first try: served before new ones it makes them late too.
+        # A repeat has spent part of its goal time at its first try: served first, it makes new ones late too.
         value *= self.within_share(tenant, now) * (0.5 if repeat else 1.0)
         lookup = Lookup(number, kind, key or int(self.chance() * MASK), limit_at,
                         min(limit_at, now + kind.goal_time), relative, value)
@@ -197,7 +197,10 @@
         elif not lookup.held_until:
             # A client's late try can end sooner than the hold: the sweep must find it in time to answer.
             lookup.held_until = min(now + HOLD * lookup.workload.goal_time, lookup.limit_at - 2 * SWEEP)
-            self.held[lookup.number] = lookup
+            if lookup.held_until > now:
+                self.held[lookup.number] = lookup
+            else:
+                self.give_up(lookup, now)
         return server is not None
 
     def pick(self, members, lookup, now):
