--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -372,7 +372,7 @@
         elif outcome is Outcome.FULL:
             self.cut(server, now, LEAST)
             # One that refuses at once always looks idle, and would draw ever more shots.
-            server.rest_until = now + max(0.1, server.pace)
+            server.rest_until = now + max(0.1, server.pace) / min(1.0, server.limit)
         else:
             server.fails.add(now)
             if outcome is Outcome.TIMED_OUT:
