--- a/cartdeal/benchlink/loop.py
+++ b/cartdeal/benchlink/loop.py
@@ -72,8 +72,20 @@
     def note(self, text: str):
         self.reply.text(24, self.instance, text)
 
-    def watch(self):
-        self.reply.records += wire.LISTEN.pack(26, self.instance, 1)
+    def watch(self, on: bool = True):
+        self.reply.records += wire.LISTEN.pack(26, self.instance, on)
+
+    def fetch_list(self):
+        self.reply.records += wire.GET_LIST.pack(27, self.instance)
+
+    def close_idle(self, server: int):
+        self.reply.records += wire.LET_GO.pack(22, self.instance, self.names[server])
+
+    def tell(self, agent: int, words: bytes):
+        """Tells one agent, or all for an agent of -1."""
+        place = len(self.reply.tail)
+        self.reply.records += wire.SAY.pack(23, self.instance, agent & 0xFFFF, place, len(words))
+        self.reply.tail += words
 
 
 class Loop:
--- a/cartdeal/benchlink/wire.py
+++ b/cartdeal/benchlink/wire.py
@@ -31,6 +31,9 @@
 POLL = Struct("<BH6s15x")
 TEXT = Struct("<BHII13x")
 LISTEN = Struct("<BHB20x")
+LET_GO = POLL
+SAY = Struct("<BHHII11x")
+GET_LIST = Struct("<BH21x")
 
 OUTCOMES = {
     0: Outcome.COMPLETED,
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from cartdeal.benchlink.loop import Reply, Seat
+
 COMMAND = [sys.executable, "-m", "cartdeal.benchlink"]
 SETTINGS = {"az": 0, "areas": ["x", "y"], "groupSize": 2, "discovery": "on_request", "novel": [1],
             "myNumber": 0, "workloads": [{"idempotency": "odd", "goalTimeUs": 500000, "importance": 1.0}],
@@ -88,6 +90,24 @@
     assert words in done.stderr.decode() and done.stderr.count(b"\n") == 1
 
 
+def test_actions_are_laid_out_as_the_wire_wants():
+    seat = Seat(3, Reply(), 0)
+    server = seat.index(bytes.fromhex("0a124a075b1b"))
+    seat.shoot(0x5D3A91C4, server, 8.494298)
+    seat.wake(77, 0.500000)
+    seat.note("two servers known")
+    seat.tell(-1, b"hi 7")
+    seat.close_idle(server)
+    seat.fetch_list()
+    seat.watch(False)
+    reply = seat.reply.framed(12)
+    heads = ["100300c4913a5d0a124a075b1bda9c810000000000", "1403004d0000000000000020a10700",
+             "1803000000000011000000", "170300ffff1100000004000000", "1603000a124a075b1b", "1b0300", "1a030000"]
+    assert reply[:12] == struct.pack("<III", 7 * 24 + 21, 7, 12)
+    assert [reply[at:at + 24].hex() for at in range(12, 180, 24)] == [head.ljust(48, "0") for head in heads]
+    assert reply[180:] == b"two servers knownhi 7" and run(frame(1, [])).stdout == bytes(8) + b"\1\0\0\0"
+
+
 def test_broken_decision_is_told_as_a_fault():
     bad = struct.pack("<BHIHIQQIB", 18, 1, 5, 40, 0, 0, 3_000_000, 0, 0)
     done = run(frame(0, *launch(1)) + frame(1, [bad]))
