Pass over outcomes and probe answers of servers this agent knows nothing of

An outcome held over from before a restart, at a server that the new instance's list lacks, broke the decision code.

--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -323,8 +323,10 @@
     # Shots and probes
 
     def shot_ended(self, number, index, outcome, shot, took, finished, load):
-        now, server = self.host.now, self.servers[index]
-        server.out.pop((number, shot), None)
+        now, server = self.host.now, self.servers.get(index)
+        # After a restart an outcome may come of a shot, at a server, that this agent knows nothing of.
+        if server is None or server.out.pop((number, shot), None) is None:
+            return
         lookup = self.lookups.get(number)
         self.learn(server, outcome, took, lookup, now)
         if lookup is not None:
@@ -399,8 +401,8 @@
         server.fails = Fading(MEMORY, now)
 
     def probe_ended(self, index, outcome, took, load):
-        now, server = self.host.now, self.servers[index]
-        if server.closed:
+        now, server = self.host.now, self.servers.get(index)
+        if server is None or server.closed:
             return
         if outcome is Outcome.COMPLETED:
             server.trial, server.wins, server.fails = True, Fading(MEMORY, now), Fading(MEMORY, now)
