--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -128,7 +128,7 @@
                 server.started = line.started
                 server.grant = self.chance()
             if line.state is not State.GONE:
-                server.zone, server.model, server.cell = line.zone, line.model, line.cell
+                server.zone, server.cell = line.zone, line.cell
                 server.weight = max(line.weight, 1e-3)
             if line.started > server.started:
                 server.started = line.started
@@ -391,11 +391,15 @@
     def open(self, server, now):
         if not server.closed and not server.trial:
             return
-        server.backoff = 1.0 if server.closed else min(8.0, server.backoff * 2)
+        server.backoff = 0.5 if server.closed else server.backoff
         server.closed = server.trial = False
-        server.retry_at = now + server.backoff * (0.75 + 0.5 * self.chance())
+        self.put_off(server, now)
         self.check_zones(now)
 
+    def put_off(self, server, now):
+        server.backoff = min(8.0, server.backoff * 2)
+        server.retry_at = now + server.backoff * (0.75 + 0.5 * self.chance())
+
     def close(self, server, now):
         server.closed, server.silent, server.trial = True, False, False
         server.fails = Fading(MEMORY, now)
@@ -408,8 +412,7 @@
             server.trial, server.wins, server.fails = True, Fading(MEMORY, now), Fading(MEMORY, now)
             server.retry_at = now + 1.0
         else:
-            server.backoff = min(8.0, server.backoff * 2)
-            server.retry_at = now + server.backoff * (0.75 + 0.5 * self.chance())
+            self.put_off(server, now)
 
     def told(self, sender, words):
         """Agents need no words from each other."""
