--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -6,12 +6,13 @@
 `probe_ended`, `woken` and `told`. Each acts through the host before it returns.
 """
 
-from math import exp, log
+from math import exp, inf, log
 from zlib import crc32
 
 from cartdeal.terms import Group, Outcome, Repeat, State
 
-SWEEP = 0.02          # how often what no event brings up is looked after
+GLANCE = 0.02         # how often room is looked for while a lookup is held
+SPARE = 0.04          # time kept free before a time limit, for the answer to get out
 FAILBACK = 10.0       # seconds between checks whether a zone ranked higher is fit again
 MEMORY = 6.0          # over how many seconds failures, rates and paces fade
 DOUBT = 2.0           # failures (fading) that may open a circuit ...
@@ -106,7 +107,8 @@
         self.met, self.missed = Fading(2.0, now), Fading(2.0, now)  # held lookups, by whether room came
         self.watching = not charter.must_ask
         self.watch_at, self.watch_backoff = now, 0.5
-        self.sweep(now)
+        self.alarm_at = inf
+        self.keep_watch(now)
 
     def chance(self):
         self.counter += 1
@@ -144,13 +146,16 @@
     def watch_failed(self):
         self.watching = False
         self.watch_at = self.host.now + self.watch_backoff * (0.5 + self.chance())
+        self.alarm(self.watch_at)
         self.watch_backoff = min(self.watch_backoff * 2, self.charter.ask_every / 3)
 
     def keep_watch(self, now):
         # Without a watch, an agent is held to know what it never heard unless it has asked lately.
-        if not self.watching and now >= self.watch_at:
-            self.host.watch()
-            self.watch_at = now + self.charter.ask_every / 3
+        if not self.watching:
+            if now >= self.watch_at:
+                self.host.watch()
+                self.watch_at = now + self.charter.ask_every / 3
+            self.alarm(self.watch_at)
 
     # Lookups
 
@@ -196,9 +201,10 @@
             self.give_up(lookup, now)
         elif not lookup.held_until:
             # A client's late try can end sooner than the hold: the sweep must find it in time to answer.
-            lookup.held_until = min(now + HOLD * lookup.workload.goal_time, lookup.limit_at - 2 * SWEEP)
+            lookup.held_until = min(now + HOLD * lookup.workload.goal_time, lookup.limit_at - SPARE)
             if lookup.held_until > now:
                 self.held[lookup.number] = lookup
+                self.alarm(now + GLANCE)
             else:
                 self.give_up(lookup, now)
         return server is not None
@@ -211,6 +217,7 @@
         if not usable:
             return None
         mean = sum(len(s.out) for s in usable) / sum(s.weight for s in usable)
+        like = None
         key, best, top, spare = lookup.key, None, -1.0, None
         for s in usable:
             busy = len(s.out)
@@ -218,8 +225,11 @@
                 continue
             if not self.within_group(lookup, s, now):
                 continue
-            if now - s.started < self.charter.cold_for and s.started and not self.granted(s, lookup, now):
-                continue
+            if now - s.started < self.charter.cold_for and s.started:
+                # Once a pick: a whole zone that is cold would otherwise be summed up again for each server.
+                like = self.like(s.zone, now) if like is None else like
+                if not self.granted(s, lookup, now, like):
+                    continue
             score = s.weight / -log((mixed(key ^ s.hash) + 1) / 1.8446744073709552e19)
             if busy >= 2 and busy + 1 > max(2.0, YIELD * mean * s.weight):
                 if spare is None or busy / s.weight < len(spare.out) / spare.weight:
@@ -242,11 +252,11 @@
             return False
         return lookup.workload.repeat is Repeat.IDEMPOTENT or now > server.retry_at
 
-    def granted(self, server, lookup, now):
+    def granted(self, server, lookup, now, like):
         """Whether a cold server's ramp allows one more: rule 4 holds if every agent keeps to its own ramp."""
         age = now - server.started
         ramp = self.charter.cold_from + (1 - self.charter.cold_from) * min(1.0, age / self.charter.cold_for)
-        rate = COLD_SHARE * ramp * server.weight * self.like(server.zone, now)
+        rate = COLD_SHARE * ramp * server.weight * like
         # Counted in short spans: what was not used lately is no leave for a burst.
         most = max(1.0, rate * self.charter.cold_span / 4)
         server.grant = min(most, server.grant + rate * (now - server.granted_at))
@@ -273,6 +283,7 @@
         if not server.out:
             server.heard = now
         server.out[lookup.number, shot] = now
+        self.alarm(now + self.patience(server, now))
         server.sends.add(now)
         server.grant -= lookup.cost
         self.host.shoot(lookup.number, server.index, lookup.limit_at)
@@ -399,6 +410,7 @@
     def put_off(self, server, now):
         server.backoff = min(8.0, server.backoff * 2)
         server.retry_at = now + server.backoff * (0.75 + 0.5 * self.chance())
+        self.alarm(server.retry_at)
 
     def close(self, server, now):
         server.closed, server.silent, server.trial = True, False, False
@@ -433,48 +445,65 @@
                 if self.passes(zone):
                     self.standing = place
                     self.failback_at = now + FAILBACK
+                    self.alarm(self.failback_at)
                     break
 
     # What no event brings up
 
+    def alarm(self, at):
+        # Timers only for what is due: agents that look round all the time cost more than their lookups do.
+        if at < self.alarm_at:
+            self.alarm_at = at
+            self.host.wake(0, max(0.0, at - self.host.now))
+
     def woken(self, token):
         now = self.host.now
-        self.sweep(now)
+        if now >= self.alarm_at - 1e-5:
+            self.alarm_at = inf
+            self.sweep(now)
 
     def sweep(self, now):
-        self.host.wake(0, SWEEP)
         self.keep_watch(now)
-        if now >= self.failback_at:
-            self.failback_at = now + FAILBACK
-            higher = self.order[:self.standing]
-            self.standing = next((p for p, zone in enumerate(higher) if self.passes(zone)), self.standing)
+        if self.standing:
+            if now >= self.failback_at:
+                self.failback_at = now + FAILBACK
+                higher = self.order[:self.standing]
+                self.standing = next((p for p, zone in enumerate(higher) if self.passes(zone)), self.standing)
+            self.alarm(self.failback_at)
         for server in self.servers.values():
             if server.out and server.closed:
                 self.listen_for(server, now)
-            asleep = not server.closed and not server.trial and server.state is State.READY
-            if asleep and now >= server.retry_at:
-                server.retry_at = now + 2.0
-                if self.charter.may_probe:
-                    self.host.probe(server.index)
-                else:
-                    server.trial = True
+            if not server.closed and not server.trial and server.state is State.READY:
+                if now >= server.retry_at:
+                    server.retry_at = now + 2.0
+                    if self.charter.may_probe:
+                        self.host.probe(server.index)
+                    else:
+                        server.trial = True
+                self.alarm(server.retry_at)
         if self.held:
             for lookup in [each for each in self.held.values() if now >= each.held_until]:
                 self.missed.add(now)
                 if not self.place(lookup, now, last=True):
                     self.give_up(lookup, now)
             self.release(now)
+            if self.held:
+                self.alarm(now + GLANCE)
+
+    def patience(self, server, now):
+        usual = self.pace.read(now) / max(self.paced.read(now), 0.1)
+        return max(0.25, usual * (4.0 if len(server.out) < 3 else 2.5)) if usual else inf
 
     def listen_for(self, server, now):
         """A server that has gone silent is left before its shots end."""
-        sent = next(iter(server.out.values()))
-        quiet = now - max(sent, server.heard)
-        usual = self.pace.read(now) / max(self.paced.read(now), 0.1)
-        if usual and quiet > max(0.25, usual * (4.0 if len(server.out) < 3 else 2.5)):
-            server.silent = True
-            server.fails.add(now, DOUBT)
-            self.open(server, now)
-            self.rescue(server, now)
+        due = max(next(iter(server.out.values())), server.heard) + self.patience(server, now)
+        if now < due:
+            self.alarm(due)
+            return
+        server.silent = True
+        server.fails.add(now, DOUBT)
+        self.open(server, now)
+        self.rescue(server, now)
 
     def rescue(self, server, now):
         """Takes back the lookups waiting at a silent server where another shot can do no harm."""
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -1,6 +1,7 @@
 """A host that prints what an agent decides, for comparison with the traces kept beside the tests."""
 
 import os
+from bisect import insort
 from pathlib import Path
 
 from cartdeal.choice import Balancer
@@ -20,7 +21,8 @@
             workloads=(READ, ONCE, MARKED, MARKED_ALL), paid_by_work=False, crossing_fee=0.1, most_shots=5,
             may_cancel=True, may_probe=True, advises_wait=0.0, must_ask=False, ask_every=10.0, cold_from=0.2,
             cold_for=10.0, cold_span=2.0)
-        self.now, self.lines, self.due, self.quiet, self.shots = 100.0, [], 0.0, False, {}
+        self.now, self.lines, self.due, self.quiet, self.shots = 100.0, [], [], False, {}
+        self.timers = 0
         self.balancer = Balancer(self, Charter(**base | terms))
         self.names = {}
         self.list(servers)
@@ -56,12 +58,13 @@
         self.say("watch")
 
     def wake(self, token, delay):
-        self.due = self.now + delay
+        self.timers += 1
+        insort(self.due, self.now + delay)
 
     def wait(self, time):
         end = self.now + time
-        while self.due <= end:
-            self.now = self.due
+        while self.due and self.due[0] <= end:
+            self.now = self.due.pop(0)
             self.balancer.woken(0)
         self.now = end
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -112,6 +112,14 @@
     scene.kept("watch")
 
 
+def test_timers_are_set_only_for_what_is_due():
+    scene = Scene(must_ask=True, ask_every=9.0)
+    scene.serve(range(1, 4))
+    set_before = scene.timers
+    scene.wait(60)
+    assert scene.timers - set_before < 30
+
+
 def test_burst_at_a_just_started_server():
     sent = []
     for number in range(6):
