--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -11,7 +11,7 @@
 
 from cartdeal.terms import Group, Outcome, Repeat, State
 
-GLANCE = 0.02         # how often room is looked for while a lookup is held
+GLANCE = 0.02         # how often room is looked for while a lookup is held, how long an answered probe holds
 SOON = 0.002          # the least time to a timer
 SPARE = 0.04          # time kept free before a time limit, for the answer to get out
 FAILBACK = 10.0       # seconds between checks whether a zone ranked higher is fit again
@@ -25,10 +25,9 @@
 CALM, LATE = 0.15, 0.25  # shares of the goal time: quicker lets a limit grow, slower cuts it
 YIELD = 1.5           # times the mean in flight at which a server yields
 HOLD = 0.3            # share of the goal time that a lookup may be held
-THIN = 6.0            # answers (fading) under which a server is asked first
-ASKED = 1             # servers of a zone asked for one lookup, at most
+TROUBLE = 0.08        # share of lookups missed at home from which on servers are asked first ...
+THIN = 20.0           # ... by agents with fewer answers (fading) than this for each server of the zone
 TARDY = 2.0           # times the usual time to an answer at which an asked server yields
-FRESH = 0.02          # for how long a server's answer holds for the lookups after
 CROWDED = 0.6         # share of the goal time: a server that expects to take longer yields
 COLD_SHARE = 0.7      # share of its ramp that a cold server is sent
 MASK = (1 << 64) - 1
@@ -68,8 +67,6 @@
 
 
 class Server:
-    """What this agent has seen of one server."""
-
     def __init__(self, index, limit, now):
         self.index, self.first_limit = index, limit
         self.state, self.started = State.GONE, 0.0
@@ -110,7 +107,7 @@
         self.answer, self.answered = Fading(MEMORY, now), Fading(MEMORY, now)  # time to answers of probes
         self.strain = Fading(1.0, now)  # lookups that found no room lately
         self.met, self.missed = Fading(2.0, now), Fading(2.0, now)  # held lookups, by whether room came
-        self.spill = 0.0    # share of the keys that cross to another zone
+        self.lead = self.spill = 0.0    # share of the keys that cross to another zone
         self.ends = [[Fading(MEMORY, now), Fading(MEMORY, now)] for _ in "ha"]  # all, bad: at home, away
         self.watching = not charter.must_ask
         self.watch_at, self.watch_backoff = now, 0.5
@@ -226,7 +223,7 @@
         if not usable and not any(map(self.passes, self.order)) \
                 and members is self.zones[self.order[self.standing]]:
             usable = members
-        if not usable or sum(s.zone == usable[0].zone for s in lookup.asked) >= ASKED:
+        if not usable or any(s.zone == usable[0].zone for s in lookup.asked):
             return None
         mean = sum(len(s.out) for s in usable) / sum(s.weight for s in usable)
         like = None
@@ -252,9 +249,11 @@
         return best or spare
 
     def must_ask(self, server, now):
-        # An agent with few lookups learns of a full server too late from their outcomes: it asks first.
-        thin = server.wins.read(now) + server.fails.read(now) < THIN
-        return thin and self.charter.may_probe and server.closed and now > server.said_at + FRESH
+        # A quiet agent learns of full servers too late from outcomes: in trouble, or new, it asks first.
+        ended, bad = self.ends[0]
+        trouble = bad.read(now) + 0.05 > TROUBLE * ended.read(now) or self.strain.read(now) > 0.1
+        few = self.paced.read(now) < THIN * len(self.zones[server.zone])
+        return trouble and few and self.charter.may_probe and server.closed and now > server.said_at + GLANCE
 
     def ask(self, lookup, server, now):
         lookup.asked.append(server)
@@ -268,7 +267,8 @@
     def spills_to(self, lookup):
         """The zone stood on, but for the keys that it can't carry: all agents send such a key to one zone."""
         home, at = self.order[self.standing], mixed(lookup.key ^ MASK) / MASK
-        others = at < self.spill and [z for z in range(len(self.zones)) if z != home and self.passes(z)]
+        crosses = at < self.spill and self.pays(lookup.workload.importance * self.lead)
+        others = crosses and [z for z in range(len(self.zones)) if z != home and self.passes(z)]
         return others[int(at * 1e6) % len(others)] if others else home
 
     def judge(self, lookup, bad, now):
@@ -277,15 +277,17 @@
         for each, more in zip(self.ends[away], (1.0, bad), strict=True):
             each.add(now, more)
         home, other = (bad.read(now) / max(ended.read(now), 0.5) for ended, bad in self.ends)
-        gain = home - other - self.charter.crossing_fee
-        self.spill = min(0.9, max(0.0, self.spill + (0.05 if gain > 0 else -0.02)))
+        self.lead = home - other
+        step = 0.05 if self.lead > self.charter.crossing_fee else -0.02
+        self.spill = min(0.9, max(0.0, self.spill + step))
 
     def worth_crossing(self, lookup, now, last):
         """Whether the next zone's chance, beyond what held lookups lately had at home, is worth its fee."""
         met, missed = self.met.read(now), self.missed.read(now)
-        stay = 0.0 if last else met / (met + missed + 0.1)
-        mean = self.importance.amount / max(self.arrivals.amount, 1e-9)
-        return lookup.value * (1.0 - stay) > self.charter.crossing_fee * mean
+        return self.pays(lookup.value * (1.0 if last else 1.0 - met / (met + missed + 0.1)))
+
+    def pays(self, gain):
+        return gain * self.arrivals.amount > self.charter.crossing_fee * self.importance.amount
 
     def may_try(self, server, lookup, now):
         """Open circuits regain trust by one trial lookup at a time, idempotent ones first."""
@@ -523,11 +525,9 @@
                 self.listen_for(server, now)
             if not server.closed and not server.trial and server.state is State.READY:
                 if now >= server.retry_at:
-                    server.retry_at = now + 2.0
+                    server.retry_at, server.trial = now + 2.0, not self.charter.may_probe
                     if self.charter.may_probe:
                         self.host.probe(server.index)
-                    else:
-                        server.trial = True
                 self.alarm(server.retry_at)
         if self.held:
             for lookup in [each for each in self.held.values() if now >= each.held_until]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,7 +1,7 @@
 from types import SimpleNamespace
 
 from cartdeal.terms import Load, Outcome, State
-from tests.scene import Scene
+from tests.scene import READ, Scene
 
 
 def test_failover_failback_and_no_zone_passes():
@@ -136,7 +136,8 @@
     for rounds in (0, 4, 8):
         scene = Scene("a0 b0 c1 d1", seed=rounds, crossing_fee=0.05)
         scene.serve(range(1, 1 + rounds), took=1.1)
-        crossed.append({key for key in range(300) if scene.balancer.spills_to(SimpleNamespace(key=key)) != 0})
+        zone = scene.balancer.spills_to
+        crossed.append({key for key in range(300) if zone(SimpleNamespace(key=key, workload=READ)) != 0})
     assert not crossed[0] and len(crossed[1]) > 20 and crossed[1] < crossed[2] and len(crossed[2]) < 200
 
 
