--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -21,14 +21,14 @@
 SHARED_LIMIT = 8.0    # in flight at a server nothing is known of, from all agents
 LEAST = 0.25          # a limit under one means pauses between single shots
 CUT = 0.75            # what a limit keeps of itself when it is cut
-TOO_LATE = 0.6        # share of the goal time: slower lets a limit fall under one
-CALM, LATE = 0.15, 0.25  # shares of the goal time: quicker lets a limit grow, slower cuts it
+CALM, LATE, TOO_LATE = 0.15, 0.25, 0.6  # of the goal time: a limit grows, is cut, falls under one
 YIELD = 1.5           # times the mean in flight at which a server yields
 HOLD = 0.3            # share of the goal time that a lookup may be held
 TROUBLE = 0.08        # share of lookups missed at home from which on servers are asked first ...
 THIN = 20.0           # ... by agents with fewer answers (fading) than this for each server of the zone
 TARDY = 2.0           # times the usual time to an answer at which an asked server yields
 CROWDED = 0.6         # share of the goal time: a server that expects to take longer yields
+SLOWED = 8.0          # times the answer to a probe that a server without a report is expected to take
 COLD_SHARE = 0.7      # share of its ramp that a cold server is sent
 MASK = (1 << 64) - 1
 
@@ -466,7 +466,7 @@
             self.answer.add(now, took)
             self.answered.add(now)
             server.said_at = now
-            server.expects = load.held / max(load.served, 0.1) if load and load.held else 0.0
+            server.expects = load.held / max(load.served, 0.1) if load and load.held else SLOWED * took
         elif answered:
             server.trial, server.wins, server.fails = True, Fading(MEMORY, now), Fading(MEMORY, now)
             server.retry_at = now + 1.0
