--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -11,7 +11,7 @@
 
 from cartdeal.terms import Group, Outcome, Repeat, State
 
-GLANCE = 0.02         # how often room is looked for while a lookup is held; how long a probe's answer holds
+GLANCE = 0.05         # how often room is looked for while a lookup is held; how long a probe's answer holds
 SOON = 0.002          # the least time to a timer
 SPARE = 0.04          # time kept free before a time limit, for the answer to get out
 FAILBACK = 10.0       # seconds between checks whether a zone ranked higher is fit again
@@ -224,8 +224,7 @@
             usable = members
         if not usable or any(s.zone == usable[0].zone for s in lookup.asked):
             return None
-        mean = sum(len(s.out) for s in usable) / sum(s.weight for s in usable)
-        like = None
+        mean = like = None
         key, best, top, spare = lookup.key, None, -1.0, None
         for s in usable:
             busy = len(s.out)
@@ -240,6 +239,8 @@
                 if not self.granted(s, lookup, now, like):
                     continue
             score = s.weight / -log((mixed(key ^ s.hash) + 1) / 1.8446744073709552e19)
+            if busy >= 2 and mean is None:
+                mean = sum(len(each.out) for each in usable) / sum(each.weight for each in usable)
             if busy >= 2 and busy + 1 > max(2.0, YIELD * mean * s.weight):
                 if spare is None or busy / s.weight < len(spare.out) / spare.weight:
                     spare = s
@@ -252,7 +253,7 @@
         ended, bad = self.ends[0]
         trouble = bad.read(now) + 0.05 > TROUBLE * ended.read(now) or self.strain.read(now) > 0.1
         few = self.arrivals.read(now) < (1 + self.reports) * THIN * len(self.zones[server.zone])
-        asks = (trouble or self.reports) and few and self.charter.may_probe
+        asks = trouble and few and self.charter.may_probe
         return asks and server.closed and now > server.said_at + GLANCE
 
     def ask(self, lookup, server, now):
@@ -368,7 +369,7 @@
         for lookup in sorted(due, key=lambda each: -each.value):
             self.place(lookup, now)
             misses += lookup.number in self.held
-            if misses > 2:
+            if misses > 1:
                 break
 
     # Shots and probes
@@ -471,16 +472,16 @@
             self.put_off(server, now)
         for lookup in sorted(askers.values(), key=lambda each: -each.value):
             if lookup.number in self.held and server in lookup.asked:
-                if answered and server.closed:
-                    lookup.asked.remove(server)
+                lookup.asked.remove(server)
                 ready = answered and server.closed and server.state is State.READY
                 if ready and self.pick([server], lookup, now):
                     self.shoot(lookup, server, now)
                 else:
+                    lookup.asked.append(server)  # else a jammed fleet is asked over and over
                     self.place(lookup, now)
 
     def told(self, sender, words):
-        """Agents need no words from each other."""
+        pass    # agents need no words from each other
 
     # Zones
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -141,6 +141,16 @@
     assert 1 not in scene.shots
 
 
+def test_server_that_said_it_is_full_is_asked_once_a_lookup():
+    scene = Scene("a0 b0 e0 f0", crossing_fee=9.0)
+    scene.prompt = False
+    scene.take(1)
+    for server in scene.balancer.lookups[1].asked:
+        scene.balancer.probe_ended(server.index, Outcome.COMPLETED, 0.001, Load(20.0, 4.0))
+    scene.wait(0.25)
+    assert len([line for line in scene.lines if "probe" in line]) == 1
+
+
 def test_keys_cross_together_while_home_misses_more_than_the_fee():
     crossed = []
     for rounds in (0, 4, 8):
