--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -58,8 +58,7 @@
         self.out = {}       # shots in flight: number -> server
         self.traces = {}    # shots that are out or may have run: number -> (server, when sent)
         self.tried, self.asked = [], []
-        self.ask_at = self.held_until = 0.0
-        self.streaming = False
+        self.ask_at, self.held_until, self.streaming = 0.0, 0.0, False
 
 
 class Server:
