Pass over a load report without what was served; drop a check that could not act

The check of asked servers inside pick stood beside one that leaves the zone altogether. No other decision changes.

--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -87,8 +87,7 @@
         now = host.now
         # Agents that each begin with a whole server's room for themselves jam it together at the start.
         self.first_limit = max(LEAST, min(4.0, SHARED_LIMIT / charter.agents))
-        self.counter = 0
-        self.servers, self.lookups, self.held = {}, {}, {}
+        self.counter, self.servers, self.lookups, self.held = 0, {}, {}, {}
         self.zones = [[] for _ in range(charter.zones)]
         others = [zone for zone in range(charter.zones) if zone != charter.own_zone]
         others.sort(key=lambda zone: (mixed(crc32(b"%d/%d" % (charter.number, zone))), zone))
@@ -102,7 +101,7 @@
         self.answer, self.answered = Fading(MEMORY, now), Fading(MEMORY, now)  # time to answers of probes
         self.strain = Fading(1.0, now)  # lookups that found no room lately
         self.met, self.missed = Fading(2.0, now), Fading(2.0, now)  # held lookups, by whether room came
-        self.loss = self.spill = 0.0    # share of the keys that cross to another zone
+        self.loss = self.spill = 0.0    # shares: of lookups missed at home, of the keys that cross
         self.ends = [[Fading(MEMORY, now), Fading(MEMORY, now)] for _ in "ha"]  # all, bad: at home, away
         self.watching, self.reports = not charter.must_ask, False
         self.watch_at, self.watch_backoff = now, 0.5
@@ -208,7 +207,7 @@
 
     def hold(self, lookup, now):
         if lookup.number not in self.held:
-            # A client's late try can end sooner than the hold: the sweep must find it in time to answer.
+            # A client's late try can end sooner than the hold: the timer must find it in time to answer.
             lookup.held_until = min(now + HOLD * lookup.workload.goal_time, lookup.limit_at - SPARE)
         if now < lookup.held_until:
             self.held[lookup.number] = lookup
@@ -227,7 +226,7 @@
         key, best, top, spare = lookup.key, None, -1.0, None
         for s in usable:
             busy = len(s.out)
-            if busy >= max(1.0, s.limit) or now < s.rest_until or s in lookup.tried or s in lookup.asked:
+            if busy >= max(1.0, s.limit) or now < s.rest_until or s in lookup.tried:
                 continue
             crowded = s.expects > CROWDED * lookup.workload.goal_time and now < s.said_at + CROWDED
             if crowded or not self.within_group(lookup, s, now):
@@ -463,7 +462,8 @@
             self.answer.add(now, took)
             self.answered.add(now)
             server.said_at, self.reports = now, load is not None
-            server.expects = load.held / max(load.served, 0.1) if load and load.held else SLOWED * took
+            told = load and load.held and load.served is not None   # a report may lack either column
+            server.expects = load.held / max(load.served, 0.1) if told else SLOWED * took
         elif answered:
             server.trial, server.wins, server.fails = True, Fading(MEMORY, now), Fading(MEMORY, now)
             server.retry_at = now + 1.0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -151,6 +151,14 @@
     assert len([line for line in scene.lines if "probe" in line]) == 1
 
 
+def test_report_without_what_was_served_is_passed_over():
+    scene = Scene("a0")
+    scene.prompt = False
+    scene.take(1)
+    scene.balancer.probe_ended(ord("a"), Outcome.COMPLETED, 0.001, Load(20.0, None))
+    assert 1 in scene.shots
+
+
 def test_keys_cross_together_while_home_misses_more_than_the_fee():
     crossed = []
     for rounds in (0, 4, 8):
