--- /dev/null
+++ b/cartdeal/agent/effects.py
@@ -0,0 +1,122 @@
+"""Carries out what the reducer asks for, and brings each result back to it as an event.
+
+Owns the timers and the datagrams between agents, and the one way into the reducer, `feed`. It must never let
+an event in while another is being handled, and keeps no state of a lookup.
+"""
+
+import logging
+from heapq import heappop, heappush
+from time import monotonic, time
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from cartdeal.agent.front import Front
+from cartdeal.agent.reducer import Reducer
+from cartdeal.agent.roster import Roster
+from cartdeal.agent.shots import Shots
+
+LONGEST_WORDS = 256
+
+log = logging.getLogger("cartdeal.agent")
+
+
+class Effects:
+    def __init__(self, station):
+        self.station = station
+        self.due = []
+        self.order = 0
+        self.sooner = Event()
+        self.reducer = Reducer(station, monotonic(), time())
+        self.front = Front(station, self.feed, lambda: self.reducer.ready)
+        self.shots = Shots(station, self.feed)
+        self.roster = Roster(station, self.feed, lambda: self.reducer.version)
+        self.words = self.open_words()
+        self.verbs = {
+            "begun": self.front.begun, "answer": self.front.answer,
+            "shoot": self.shots.shoot, "cancel": self.shots.cancel, "probe": self.shots.probe,
+            "close_idle": self.shots.close_idle,
+            "watch": self.roster.watch, "fetch_list": self.roster.fetch_list,
+            "wake": self.wake, "remind": self.remind, "tell": self.tell, "note": self.note,
+        }
+
+    def start(self):
+        self.carry_out()
+        for work in (self.keep_time, self.shots.sweep, self.front.accept):
+            gevent.spawn(work)
+        if self.words:
+            gevent.spawn(self.hear)
+
+    def feed(self, event: str, *args):
+        """One event into the reducer, after the timers that were due before it."""
+        self.run_due()
+        self.play(event, args)
+
+    def play(self, event: str, args):
+        reducer = self.reducer
+        reducer.now = max(reducer.now, monotonic())
+        try:
+            getattr(reducer, event)(*args)
+        except Exception:
+            # A broken decision must not take the agent with it; its lookup is answered when it is overdue.
+            log.exception("event failed", extra={"event": event})
+        self.carry_out()
+
+    def carry_out(self):
+        asked, self.reducer.asked = self.reducer.asked, []
+        for verb, *args in asked:
+            try:
+                self.verbs[verb](*args)
+            except Exception:
+                log.exception("effect failed", extra={"effect": verb})
+
+    # Timers
+
+    def wake(self, token: int, at: float):
+        self.set(at, "woken", token)
+
+    def remind(self, lookup: int, at: float):
+        self.set(at, "overdue", lookup)
+
+    def set(self, at: float, event: str, about: int):
+        self.order += 1
+        heappush(self.due, (at, self.order, event, about))
+        if self.due[0][1] == self.order:
+            self.sooner.set()
+
+    def run_due(self):
+        while self.due and self.due[0][0] <= monotonic():
+            _, _, event, about = heappop(self.due)
+            self.play(event, (about,))
+
+    def keep_time(self):
+        while True:
+            self.sooner.clear()
+            self.run_due()
+            # The loop's own clock may lag: the balancer takes a timer that comes early for an older one.
+            self.sooner.wait(max(0.0, self.due[0][0] - monotonic()) if self.due else None)
+
+    # Between agents
+
+    def open_words(self):
+        if not self.station.tell_listen or not self.station.grant.leave.may_tell:
+            return None
+        words = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        words.bind(self.station.tell_listen)
+        return words
+
+    def hear(self):
+        senders = {address: place for place, address in enumerate(self.station.neighbours)}
+        while True:
+            text, address = self.words.recvfrom(LONGEST_WORDS + 1)
+            if address in senders and len(text) <= LONGEST_WORDS:
+                self.feed("told", senders[address], text)
+
+    def tell(self, agent: int, words: bytes):
+        to = self.station.everyone if agent < 0 else self.station.neighbours[agent]
+        if self.words and to and len(words) <= LONGEST_WORDS:
+            self.words.sendto(words, to)
+
+    def note(self, text: str):
+        log.info("note", extra={"words": text})
--- /dev/null
+++ b/cartdeal/agent/reducer.py
@@ -0,0 +1,236 @@
+"""All state of an agent: the lookups it owes an answer, the servers it has heard of, and the balancer whose
+host it is.
+
+One event comes in by one method; what it leads to stands in `asked` afterwards, for effects.py to carry out.
+It must never do I/O, wait, read a clock or yield to another greenlet, and decides nothing the balancer can.
+"""
+
+import logging
+from enum import IntEnum
+from typing import NamedTuple
+
+from cartdeal.agent.configuration import Roll, Station
+from cartdeal.choice import Balancer
+from cartdeal.terms import Listing, Load, Outcome, State
+
+STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+OVERDUE = 0.02      # how long after its time limit a lookup that the balancer forgot is answered all the same
+
+log = logging.getLogger("cartdeal.reducer")
+
+
+class Progress(IntEnum):
+    """How far a shot had come."""
+
+    NOT_CONNECTED = 0
+    PARTLY_WRITTEN = 1
+    WRITTEN = 2
+    HEAD = 3
+    WHOLE = 4
+
+
+class Cause(IntEnum):
+    """What ended a shot."""
+
+    ANSWERED = 0
+    BROKEN = 1
+    TIMED_OUT = 2
+    GIVEN_UP = 3
+
+
+class Ending(NamedTuple):
+    """How a shot or a probe ended; `progress` alone tells whether it may have run."""
+
+    cause: Cause
+    progress: Progress
+    took: float
+    status: int = 0
+    not_processed: bool = False
+    kind: bytes = b""       # the body's content type
+    body: bytes = b""
+    words: str = ""
+
+    def outcome(self) -> Outcome:
+        written = self.progress >= Progress.WRITTEN
+        if self.cause is Cause.ANSWERED:
+            if self.status == 200:
+                return Outcome.COMPLETED
+            return Outcome.FULL if self.status in (503, 504) and self.not_processed else Outcome.ERROR
+        if self.cause is Cause.GIVEN_UP:
+            return Outcome.CANCELLED if written else Outcome.NEVER_SENT
+        if not written:
+            return Outcome.NOT_CONNECTED
+        return Outcome.TIMED_OUT if self.cause is Cause.TIMED_OUT else Outcome.RESET
+
+
+class Query(NamedTuple):
+    """A lookup as the application asked it."""
+
+    workload: int
+    tenant: int
+    key: int
+    wait: float         # how long the client waits, from when its bytes were read
+    cost: float
+    repeat: bool
+    method: bytes
+    path: bytes
+    id: bytes
+    mark: bytes         # by which servers know a repeat
+    kind: bytes
+    body: bytes
+
+
+class Owed:
+    """A lookup that is not answered yet, or whose shots are still out."""
+
+    def __init__(self, asker, query: Query, limit_at: float):
+        self.asker, self.query, self.limit_at = asker, query, limit_at
+        self.shots, self.out = 0, 0
+
+
+class Reducer:
+    def __init__(self, station: Station, now: float, wall: float):
+        self.station, self.now = station, now
+        self.boot = wall - now      # the one mapping between the list's clock and the agent's own
+        self.asked = []
+        self.count = 0
+        self.lookups: dict[int, Owed] = {}
+        self.version = 0
+        self.indices: dict[bytes, int] = {}
+        self.names: list[bytes] = []
+        self.addresses: list[str] = []
+        self.zones = {name: place for place, name in enumerate(station.grant.zones)}
+        self.balancer = Balancer(self, station.grant.charter(station.seed))
+        self.listed(station.known, fresh=False)
+
+    @property
+    def owes(self) -> int:
+        return sum(each.asker is not None for each in self.lookups.values())
+
+    @property
+    def ready(self) -> bool:
+        return bool(self.names)
+
+    # Events
+
+    def taken(self, asker, query: Query):
+        self.count += 1
+        number, limit_at = self.count, self.now + query.wait
+        self.lookups[number] = Owed(asker, query, limit_at)
+        self.asked.append(("begun", asker, number))
+        self.asked.append(("remind", number, limit_at + OVERDUE))
+        self.balancer.taken(number, query.workload, query.tenant, query.key, limit_at, query.cost,
+                            query.repeat)
+
+    def abandoned(self, number: int):
+        owed = self.lookups.get(number)
+        if owed and owed.asker is not None:
+            owed.asker = None
+            self.drop(number, owed)
+            self.balancer.abandoned(number)
+
+    def shot_ended(self, number: int, server: int, shot: int, ending: Ending, load: Load | None = None):
+        owed = self.lookups.get(number)
+        if owed is None:
+            return
+        owed.out -= 1
+        outcome = ending.outcome()
+        if outcome is Outcome.COMPLETED and owed.asker is not None:
+            self.answer(number, 200, ending.kind, ending.body, 0.0)
+        finished = owed.asker is None
+        self.drop(number, owed)
+        self.balancer.shot_ended(number, server, outcome, shot, ending.took, finished, load)
+
+    def probe_ended(self, server: int, ending: Ending, load: Load | None = None):
+        self.balancer.probe_ended(server, ending.outcome(), ending.took, load)
+
+    def woken(self, token: int):
+        self.balancer.woken(token)
+
+    def overdue(self, number: int):
+        """The balancer answers every lookup; should a fault have kept it from it, this does."""
+        owed = self.lookups.get(number)
+        if owed and owed.asker is not None:
+            log.error("lookup overdue", extra={"lookup": number})
+            self.terminate(number)
+            self.balancer.abandoned(number)
+
+    def listed(self, roll: Roll, fresh: bool = True):
+        self.version = roll.version
+        lines = [self.listing(line) for line in roll.lines]
+        if roll.whole:
+            here = {line.server for line in lines}
+            lines += [Listing(index, name, 0, 0, 0, State.GONE, 1.0, 0.0)
+                      for index, name in enumerate(self.names) if index not in here]
+        self.balancer.listed(lines, fresh)
+
+    def watch_failed(self):
+        self.balancer.watch_failed()
+
+    def told(self, sender: int, words: bytes):
+        self.balancer.told(sender, words)
+
+    def listing(self, line) -> Listing:
+        name = line.name.encode()
+        index = self.indices.setdefault(name, len(self.names))
+        if index == len(self.names):
+            self.names.append(name)
+            self.addresses.append(line.address)
+        elif line.address:
+            self.addresses[index] = line.address
+        started = line.started / 1e3 - self.boot if line.started else 0.0
+        return Listing(index, name, self.zones.get(line.zone, 0), 0, line.cell,
+                       STATES.get(line.state, State.DRAINING), line.weight, started)
+
+    # What the balancer asks for
+
+    def shoot(self, lookup: int, server: int, until: float):
+        owed = self.lookups[lookup]
+        shot, owed.shots = owed.shots, owed.shots + 1
+        owed.out += 1
+        until = min(until, owed.limit_at) if until else owed.limit_at
+        self.asked.append(("shoot", lookup, shot, server, self.addresses[server], owed.query, until))
+
+    def turn_back(self, lookup: int, wait: float):
+        self.answer(lookup, 503, b"", b"", wait)
+
+    def terminate(self, lookup: int):
+        self.answer(lookup, 502, b"", b"", 0.0)
+
+    def answer(self, number: int, status: int, kind: bytes, body: bytes, wait: float):
+        """The one final answer; whatever comes for the lookup after it is passed over."""
+        owed = self.lookups.get(number)
+        if owed and owed.asker is not None:
+            self.asked.append(("answer", owed.asker, status, kind, body, wait))
+            owed.asker = None
+            self.drop(number, owed)
+
+    def drop(self, number: int, owed: Owed):
+        if owed.asker is None and not owed.out:
+            self.lookups.pop(number, None)
+
+    def cancel(self, lookup: int, shot: int):
+        self.asked.append(("cancel", lookup, shot))
+
+    def probe(self, server: int):
+        self.asked.append(("probe", server, self.addresses[server]))
+
+    def watch(self, on: bool = True):
+        self.asked.append(("watch", on))
+
+    def fetch_list(self):
+        self.asked.append(("fetch_list",))
+
+    def close_idle(self, server: int):
+        self.asked.append(("close_idle", self.addresses[server]))
+
+    def tell(self, agent: int, words: bytes):
+        self.asked.append(("tell", agent, words))
+
+    def wake(self, token: int, delay: float):
+        self.asked.append(("wake", token, self.now + delay))
+
+    def note(self, text: str):
+        self.asked.append(("note", text))
+
+
--- /dev/null
+++ b/cartdeal/agent/roster.py
@@ -0,0 +1,103 @@
+"""The server list, as the list service tells it: one watch, and whole lists when asked for.
+
+Every call ends in news for the reducer or in a failed watch. It must never ask again by itself: when to ask
+is the balancer's to say.
+"""
+
+import logging
+from time import monotonic
+
+import gevent
+import msgspec
+from gevent import socket
+
+from cartdeal.agent.configuration import Roll
+from cartdeal.agent.connection import Connection, Malformed
+
+PATH = "/registry/instances"
+ANSWER = 3.0        # how long a call may take to its first line
+SILENCE = 5.0       # a watch has a line every two seconds; TCP does not tell that a service is gone
+
+log = logging.getLogger("cartdeal.roster")
+
+
+class Roster:
+    def __init__(self, station, feed, version):
+        self.address, self.feed, self.version = station.list_service, feed, version
+        self.watching = None
+
+    # Effects
+
+    def watch(self, on: bool):
+        if not on and self.watching:
+            self.watching.kill(block=False)
+        elif on and not self.watching:
+            self.watching = gevent.spawn(self.run_watch)
+
+    def fetch_list(self):
+        gevent.spawn(self.run_fetch)
+
+    # Greenlets
+
+    def run_watch(self):
+        words = "ended"
+        try:
+            self.follow()
+        except gevent.GreenletExit:
+            self.watching = None
+            return
+        except TimeoutError:
+            words = "silent"
+        except (OSError, Malformed, msgspec.MsgspecError, UnicodeError) as trouble:
+            words = str(trouble)
+        except Exception:
+            log.exception("watch died")
+        self.watching = None
+        log.warning("watch failed", extra={"words": words})
+        self.feed("watch_failed")
+
+    def run_fetch(self):
+        connection = None
+        try:
+            connection = self.call(PATH)
+            until = monotonic() + ANSWER
+            while not connection.whole:
+                if not connection.receive(max(0.001, until - monotonic())):
+                    raise Malformed(400, "ended early")
+            if connection.whole[0].status != 200:
+                raise Malformed(400, f"status {connection.whole[0].status}")
+            self.feed("listed", msgspec.json.decode(connection.whole[0].body, type=Roll))
+        except (OSError, Malformed, msgspec.MsgspecError, UnicodeError) as trouble:
+            log.warning("list not had", extra={"words": str(trouble)})
+            self.feed("watch_failed")
+        finally:
+            if connection:
+                connection.close()
+
+    def follow(self):
+        connection = self.call(f"{PATH}?watch=1&after={self.version()}")
+        try:
+            wait = ANSWER
+            while connection.receive(wait):
+                if connection.message.status and connection.message.status != 200:
+                    raise Malformed(400, f"status {connection.message.status}")
+                for text in connection.lines():
+                    if text.strip():
+                        self.feed("listed", msgspec.json.decode(text, type=Roll))
+                if connection.whole:
+                    return
+                wait = SILENCE
+        finally:
+            connection.close()
+
+    def call(self, path: str) -> Connection:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = Connection(sock, answers=True)
+        try:
+            sock.settimeout(ANSWER)
+            sock.connect(self.address)
+            connection.push(b"GET %b HTTP/1.1\r\nHost: registry\r\n\r\n" % path.encode())
+        except BaseException:
+            connection.close()
+            raise
+        return connection
--- /dev/null
+++ b/cartdeal/agent/shots.py
@@ -0,0 +1,208 @@
+"""The connections to servers, and the shots and probes that go out on them.
+
+Keeps idle connections, newest used first, and closes them well before a server would. Every shot ends in one
+Ending that tells how far it had come. It must never send anything twice, nor choose where anything goes.
+"""
+
+import logging
+from time import monotonic
+
+import gevent
+import msgspec
+from gevent import socket
+
+from cartdeal.agent.connection import Connection, Malformed
+from cartdeal.agent.reducer import Cause, Ending, Progress
+from cartdeal.grant import seconds
+from cartdeal.terms import Load
+
+KEPT = 0.6          # share of the server's idle time after which a kept connection is closed
+CONNECT = 1.0       # bound on connecting where the deployment sets none
+PROBE = 2.0         # a probe may take this many times the bound on connecting
+SWEEP = 1.0         # seconds between looks for connections that have been idle too long
+
+log = logging.getLogger("cartdeal.shots")
+
+
+class Shot:
+    """One shot or probe that is out: where it is and how far it has come."""
+
+    def __init__(self):
+        self.sent = monotonic()
+        self.progress = Progress.NOT_CONNECTED
+        self.connection = None
+        self.greenlet = None
+        self.given_up = False
+
+    def end(self, cause: Cause, words: str = "") -> Ending:
+        if self.given_up:
+            cause = Cause.GIVEN_UP
+        return Ending(cause, self.progress, monotonic() - self.sent, words=words)
+
+
+class Shots:
+    def __init__(self, station, feed):
+        leave = station.grant.leave
+        self.feed = feed
+        self.connect_limit = seconds(leave.connect_limit) or CONNECT
+        self.kept_for = KEPT * (seconds(leave.idle_limit) or 10.0)
+        self.reports = station.grant.reports
+        self.probe_path = b"/health/live" if self.reports.how == "none" else b"/stats"
+        self.idle: dict[str, list[Connection]] = {}
+        self.out: dict[tuple[int, int], Shot] = {}
+        self.open = 0
+
+    # Effects
+
+    def shoot(self, lookup: int, number: int, server: int, address: str, query, until: float):
+        shot = self.out[lookup, number] = Shot()
+        shot.greenlet = gevent.spawn(self.run_shot, shot, lookup, number, server, address, query, until)
+
+    def cancel(self, lookup: int, number: int):
+        shot = self.out.get((lookup, number))
+        if shot:
+            shot.given_up = True
+            shot.greenlet.kill(block=False)
+
+    def probe(self, server: int, address: str):
+        gevent.spawn(self.run_probe, server, address)
+
+    def close_idle(self, address: str):
+        for connection in self.idle.pop(address, ()):
+            self.close(connection)
+
+    # Greenlets
+
+    def run_shot(self, shot, lookup, number, server, address, query, until):
+        try:
+            ending = self.exchange(shot, address, until, lambda: written(query, until))
+        finally:
+            self.out.pop((lookup, number), None)
+        self.feed("shot_ended", lookup, server, number, ending)
+
+    def run_probe(self, server, address):
+        shot = Shot()
+        until = shot.sent + PROBE * self.connect_limit
+        text = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (self.probe_path, address.encode())
+        ending = self.exchange(shot, address, until, lambda: text)
+        self.feed("probe_ended", server, ending, self.load(ending))
+
+    def load(self, ending: Ending) -> Load | None:
+        if self.reports.how == "none" or ending.status != 200:
+            return None
+        try:
+            said = msgspec.json.decode(ending.body, type=dict[str, float])
+        except msgspec.MsgspecError:
+            return None
+        return Load(said.get("outstanding"), said.get("throughput"))
+
+    def exchange(self, shot: Shot, address: str, until: float, text) -> Ending:
+        """Writes one request and reads its whole answer. Whatever goes wrong comes back as an Ending."""
+        answer = None
+        try:
+            shot.connection = self.kept(address) or self.connect(address, until)
+            self.write(shot, text(), until)
+            answer = self.read(shot, until)
+            if answer is None:
+                return shot.end(Cause.BROKEN, "ended early")
+            shot.progress = Progress.WHOLE
+            return Ending(Cause.ANSWERED, shot.progress, monotonic() - shot.sent, answer.status,
+                          answer.headers.get(b"x-not-processed") == b"1",
+                          answer.headers.get(b"content-type", b""), answer.body)
+        except gevent.GreenletExit:
+            return shot.end(Cause.GIVEN_UP)
+        except TimeoutError:
+            return shot.end(Cause.TIMED_OUT)
+        except (OSError, Malformed) as trouble:
+            return shot.end(Cause.BROKEN, str(trouble))
+        except Exception as trouble:
+            log.exception("shot died", extra={"address": address})
+            return shot.end(Cause.BROKEN, repr(trouble))
+        finally:
+            connection = shot.connection
+            if connection and answer and answer.keep and not connection.whole and not shot.given_up:
+                self.keep(address, connection)
+            elif connection:
+                self.close(connection)
+
+    def write(self, shot: Shot, text: bytes, until: float):
+        sock, rest = shot.connection.sock, memoryview(text)
+        while rest:
+            sock.settimeout(left(until))
+            # Before the write: what is told of a shot must never say less than what may have gone out.
+            last = len(rest)
+            count = sock.send(rest)
+            shot.progress = Progress.WRITTEN if count == last else Progress.PARTLY_WRITTEN
+            rest = rest[count:]
+
+    def read(self, shot: Shot, until: float):
+        connection = shot.connection
+        while not connection.whole:
+            if not connection.receive(left(until)):
+                return None
+            if connection.message.status >= 200:
+                shot.progress = Progress.HEAD
+        return connection.whole.pop(0)
+
+    # Connections
+
+    def kept(self, address: str) -> Connection | None:
+        idle = self.idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if not connection.stale():
+                return connection
+            self.close(connection)
+        return None
+
+    def connect(self, address: str, until: float) -> Connection:
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(min(self.connect_limit, left(until)))
+            sock.connect((host, int(port)))
+        except BaseException:
+            sock.close()
+            raise
+        self.open += 1
+        return Connection(sock, answers=True)
+
+    def keep(self, address: str, connection: Connection):
+        connection.since = monotonic()
+        self.idle.setdefault(address, []).append(connection)
+
+    def close(self, connection: Connection):
+        if not connection.closed:
+            self.open -= 1
+            connection.close()
+
+    def sweep(self):
+        while True:
+            gevent.sleep(SWEEP)
+            before = monotonic() - self.kept_for
+            for address, idle in list(self.idle.items()):
+                while idle and idle[0].since < before:
+                    self.close(idle.pop(0))
+                if not idle:
+                    del self.idle[address]
+
+
+def left(until: float) -> float:
+    rest = until - monotonic()
+    if rest <= 0:
+        raise TimeoutError
+    return rest
+
+
+def written(query, until: float) -> bytes:
+    wait = max(1, int((until - monotonic()) * 1000))
+    head = b"%b %b HTTP/1.1\r\nHost: backend\r\nX-Request-ID: %b\r\nX-Timeout: %dm\r\n" % (
+        query.method, query.path, query.id, wait)
+    if query.mark:
+        head += b"Idempotency-Key: %b\r\n" % query.mark
+    if query.kind:
+        head += b"Content-Type: %b\r\n" % query.kind
+    if query.body or query.method != b"GET":
+        head += b"Content-Length: %d\r\n" % len(query.body)
+    return head + b"\r\n" + query.body
--- a/cartdeal/benchlink/loop.py
+++ b/cartdeal/benchlink/loop.py
@@ -1,6 +1,9 @@
 """Feeds each batch's records to the instances they are for and writes their answers back."""
 
-from cartdeal.benchlink import grant, wire
+import msgspec
+
+from cartdeal import grant
+from cartdeal.benchlink import wire
 from cartdeal.choice import Balancer
 from cartdeal.terms import Listing, Load, State
 
@@ -128,10 +131,13 @@
 
     def launched(self, instance: int, clock: int, body: bytes, place: int, tail: int):
         _, seed, offset, size = wire.LAUNCH.unpack_from(body, place)
-        text = wire.cut(body, tail, offset, size)
-        charter = grant.charter(seed, text)
+        try:
+            given = grant.read(wire.cut(body, tail, offset, size))
+        except (msgspec.MsgspecError, UnicodeError) as trouble:
+            raise wire.Malformed(f"the settings of a launch can't be read: {trouble}") from None
+        charter = given.charter(seed)
         seat = self.seats[instance] = Seat(instance, self.reply, clock)
-        seat.columns = grant.columns(text)
+        seat.columns = {name: place for place, name in enumerate(given.reports.columns)}
         try:
             seat.balancer = Balancer(seat, charter)
         except Exception as trouble:
--- a/cartdeal/benchlink/wire.py
+++ b/cartdeal/benchlink/wire.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from struct import Struct
 
-from cartdeal.terms import Group, Listing, Outcome, Repeat, State
+from cartdeal.terms import Listing, Outcome, State
 
 HEADER = Struct("<IIQI")
 REPLY_HEADER = Struct("<III")
@@ -46,8 +46,6 @@
     9: Outcome.NEVER_SENT,
 }
 STATES = {0: State.DRAINING, 1: State.GONE, 2: State.READY}
-REPEATS = {"safe": Repeat.IDEMPOTENT, "keyed": Repeat.DEDUPLICATED, "unsafe": Repeat.UNREPEATABLE}
-GROUPS = {group.value: group for group in (Group.ALL, Group.ZONE, Group.CELL)}
 
 
 class Malformed(Exception):
--- /dev/null
+++ b/cartdeal/grant.py
@@ -0,0 +1,117 @@
+"""Decodes the settings an agent is given, for the bench's wire and for sockets, and draws up its charter.
+
+The one place that knows the names of the settings. Unknown keys are passed over.
+"""
+
+import msgspec
+from msgspec import field
+
+from cartdeal.terms import Charter, Group, Repeat, Tenant, Workload
+
+REPEATS = {"safe": Repeat.IDEMPOTENT, "keyed": Repeat.DEDUPLICATED, "unsafe": Repeat.UNREPEATABLE}
+GROUPS = {group.value: group for group in Group}
+
+
+class Kind(msgspec.Struct):
+    name: str = ""
+    repeat: str | None = field(default=None, name="idempotency")
+    group: str | None = None
+    window: float | None = field(default=None, name="repeatWindowUs")
+    goal_time: float | None = field(default=None, name="goalTimeUs")
+    time_limit: float | None = field(default=None, name="timeLimitUs")
+    importance: float = 1.0
+
+    @property
+    def limit(self) -> float:
+        return seconds(self.time_limit) or 1.0
+
+    def workload(self) -> Workload:
+        return Workload(
+            REPEATS.get(self.repeat, Repeat.UNREPEATABLE),
+            # Where no group is named, none is known to drop repeats beyond the narrowest one.
+            GROUPS.get(self.group, Group.CELL),
+            seconds(self.window),
+            seconds(self.goal_time) or self.limit,
+            self.importance,
+        )
+
+
+class Quota(msgspec.Struct):
+    name: str = ""
+    quota: float | None = field(default=None, name="quotaPerS")
+
+
+class Leave(msgspec.Struct):
+    """What the deployment permits."""
+
+    most_shots: int = field(default=1, name="maxShots")
+    may_cancel: bool = field(default=False, name="cancel")
+    may_probe: bool = field(default=False, name="probes")
+    may_tell: bool = field(default=False, name="peers")
+    advises_wait: bool = field(default=False, name="retryAfter")
+    longest_wait: float | None = field(default=None, name="maxRetryAfterUs")
+    connect_limit: float | None = field(default=None, name="connectTimeoutUs")
+    idle_limit: float | None = field(default=None, name="idleCloseUs")
+
+
+class Rules(msgspec.Struct):
+    ask_every: float | None = field(default=None, name="askEveryUs")
+    cold_from: float = field(default=0.1, name="coldFrom")
+    cold_for: float | None = field(default=None, name="coldUs")
+    cold_span: float | None = field(default=None, name="fallUs")
+
+
+class Fees(msgspec.Struct):
+    crossing: float = field(default=0.0, name="crossZone")
+
+
+class Reports(msgspec.Struct):
+    how: str = "none"
+    columns: tuple[str, ...] = ()
+
+
+class Grant(msgspec.Struct):
+    number: int = field(default=0, name="myNumber")
+    agents: int = field(default=1, name="groupSize")
+    zones: tuple[str, ...] = field(default=(), name="areas")
+    own_zone: int = field(default=0, name="az")
+    workloads: tuple[Kind, ...] = ()
+    tenants: tuple[Quota, ...] = ()
+    beyond_share: float = field(default=1.0, name="overageImportance")
+    paid_by: str = field(default="request", name="importanceBasis")
+    list_comes: str = field(default="pushed", name="discovery")
+    leave: Leave = field(default_factory=Leave, name="caps")
+    rules: Rules = field(default_factory=Rules)
+    fees: Fees = field(default_factory=Fees)
+    reports: Reports = field(default_factory=Reports, name="feedback")
+
+    def charter(self, seed: int) -> Charter:
+        return Charter(
+            seed=seed,
+            number=self.number,
+            agents=self.agents,
+            zones=len(self.zones) or 1,
+            own_zone=self.own_zone,
+            workloads=tuple(kind.workload() for kind in self.workloads),
+            tenants=tuple(Tenant(each.quota or 0.0) for each in self.tenants),
+            beyond_share=self.beyond_share,
+            paid_by_work=self.paid_by == "work",
+            crossing_fee=self.fees.crossing,
+            most_shots=self.leave.most_shots,
+            may_cancel=self.leave.may_cancel,
+            may_probe=self.leave.may_probe,
+            advises_wait=seconds(self.leave.longest_wait) if self.leave.advises_wait else 0.0,
+            must_ask=self.list_comes == "on_request",
+            ask_every=seconds(self.rules.ask_every) or 10.0,
+            cold_from=self.rules.cold_from,
+            cold_for=seconds(self.rules.cold_for),
+            cold_span=seconds(self.rules.cold_span) or 1.0,
+        )
+
+
+def seconds(micros: float | None) -> float:
+    return (micros or 0.0) / 1e6
+
+
+def read(text: bytes) -> Grant:
+    return msgspec.json.decode(text, type=Grant)
