--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import sys
+from time import monotonic
 
 import gevent
 from gevent.event import Event
@@ -14,8 +15,8 @@
 from cartdeal.agent import configuration
 from cartdeal.agent.effects import Effects
 
-STILL_OPEN = 0.5    # after being told to end, how long new connections are taken
-LOOK = 0.02
+STILL_OPEN = 0.6    # after being told to end, how long connections are taken and kept
+ENDS = 3.4          # after being told to end, when all is answered: one that is killed loses what it owes
 
 log = logging.getLogger("cartdeal.agent")
 
@@ -39,14 +40,19 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, told_to_end.set)
     agent.start()
-    log.info("serving", extra={"agent": station.name, "servers": len(station.known.lines)})
+    log.info("serving", extra={"agent": station.name, "port": agent.front.port,
+                                 "servers": len(station.known.lines)})
     told_to_end.wait()
+    end_at = monotonic() + ENDS
     log.info("ending", extra={"owed": agent.reducer.owes})
+    agent.feed("ending", end_at)
     gevent.sleep(STILL_OPEN)
     agent.front.end()
-    while agent.reducer.owes:
-        gevent.sleep(LOOK)
-    log.info("ended")
+    while agent.front.lines and monotonic() < end_at:
+        agent.front.changed.clear()
+        agent.front.changed.wait(max(0.0, end_at - monotonic()))
+    gevent.sleep(0)
+    log.info("ended", extra={"owed": agent.reducer.owes})
     return 0
 
 
--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -1,4 +1,4 @@
-"""One connection: its socket, its one buffer and the HTTP parser that runs on it.
+"""One connection: its socket, its one buffer, and the HTTP parser on it; and the room for all connections.
 
 The buffer grows as it needs, and the bodies in it are moved down over the framing that they came in, so that
 a body stands whole in one place. It must never decide what a message means, nor send anything by itself.
@@ -9,6 +9,7 @@
 import gevent
 import httptools
 from gevent import socket
+from gevent.event import Event
 
 HEAD_ROOM = 16384      # the longest head of a message
 BODY_ROOM = 65536      # the longest body
@@ -33,46 +34,85 @@
         self.status = status
 
 
+class Room:
+    """How many connections there may be. Where there is none left, idle ones are closed to make some."""
+
+    def __init__(self, most: int):
+        self.most, self.used, self.closers, self.freed = most, 0, [], Event()
+
+    def take(self, spare: int = 0) -> bool:
+        while self.used + spare >= self.most:
+            if not any(close() for close in self.closers):
+                return False
+        self.used += 1
+        return True
+
+    def give(self):
+        self.used -= 1
+        self.freed.set()
+
+
 class Connection:
-    def __init__(self, sock, answers: bool):
-        self.sock = sock
+    """`on_close` is called once, when the descriptor is free again."""
+
+    def __init__(self, sock, answers: bool, on_close=lambda connection: None, body_room: int = BODY_ROOM):
+        self.sock, self.answers, self.on_close, self.body_room = sock, answers, on_close, body_room
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
-        self.answers = answers
         self.buffer = bytearray(READ)
         self.view = memoryview(self.buffer)
         self.kept = 0               # bytes of the body so far, at the buffer's start
-        self.head = 0               # bytes of the head so far; 0 between messages
-        self.in_head = True
+        self.head = 0               # bytes of the head so far, about; -1 while a body comes
+        self.midway = False         # whether a message has begun and is not whole
         self.message = Message()
         self.whole = []             # messages that have come whole and were not taken yet
         self.wrong = None
+        self.rest = None            # the greenlet that writes what the socket did not take at once
         self.closed = False
         self.since = 0.0            # when it became idle, for its owner
 
     def receive(self, wait: float | None) -> bool:
         """Waits for bytes and parses them; false at the end of the stream. Raises what the socket raises."""
-        if len(self.buffer) - self.kept < READ:
-            self.view.release()
-            self.buffer.extend(bytes(max(READ, len(self.buffer))))
-            self.view = memoryview(self.buffer)
+        self.fit()
         self.sock.settimeout(wait)
-        count = self.sock.recv_into(self.view[self.kept:])
+        try:
+            count = self.sock.recv_into(self.view[self.kept:])
+        except TimeoutError:
+            # When the agent runs late, the loop tells of the timer before the bytes that came in time.
+            self.sock.settimeout(0.0)
+            try:
+                count = self.sock.recv_into(self.view[self.kept:])
+            except BlockingIOError:
+                raise TimeoutError from None
         if not count:
             return False
+        if self.head >= 0:
+            self.head += count
         try:
-            if self.in_head:
-                self.head += count
             self.parser.feed_data(self.view[self.kept:self.kept + count])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
             raise self.wrong or Malformed(400, f"no HTTP: {trouble}") from None
-        if self.in_head and self.head > HEAD_ROOM:
+        if self.head > HEAD_ROOM:
             raise Malformed(431, f"a head of over {HEAD_ROOM} bytes")
         return True
 
+    def fit(self):
+        """Grows the buffer where it is nearly full, and gives up what a long body needed."""
+        size = len(self.buffer)
+        if size - self.kept < READ:
+            size += max(READ, size)
+        elif not self.midway and size > 4 * READ:
+            size = READ
+        if size != len(self.buffer):
+            self.view.release()
+            kept = self.buffer[:self.kept]
+            self.buffer = bytearray(size)
+            self.buffer[:self.kept] = kept
+            self.view = memoryview(self.buffer)
+
     # What the parser finds
 
     def on_message_begin(self):
-        self.message, self.kept, self.in_head = Message(), 0, True
+        self.message, self.kept, self.midway = Message(), 0, True
 
     def on_url(self, part: bytes):
         self.message.path += part
@@ -81,45 +121,46 @@
         self.message.headers[name.lower()] = value
 
     def on_headers_complete(self):
-        self.in_head, self.head = False, 0
         if self.answers:
             self.message.status = self.parser.get_status_code()
         else:
             self.message.method = self.parser.get_method()
         length = self.message.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > BODY_ROOM:
-            self.wrong = Malformed(413, f"a body of over {BODY_ROOM} bytes")
-            raise self.wrong
+        if length.isdigit():
+            self.check_room(int(length))
+        self.head = -1
 
     def on_body(self, part: bytes):
         end = self.kept + len(part)
-        if end > BODY_ROOM:
-            self.wrong = Malformed(413, f"a body of over {BODY_ROOM} bytes")
-            raise self.wrong
+        self.check_room(end)
         # Behind the place where the parser reads: what stood there is parsed already.
         self.view[self.kept:end] = part
         self.kept = end
 
+    def check_room(self, size: int):
+        if size > self.body_room:
+            self.wrong = Malformed(413, f"a body of over {self.body_room} bytes")
+            raise self.wrong
+
     def on_message_complete(self):
-        message, self.in_head, self.head = self.message, True, 0
+        message, self.midway, self.head = self.message, False, 0
         message.keep = self.parser.should_keep_alive()
         message.body = bytes(self.view[:self.kept])
         self.kept = 0
         if not (self.answers and 100 <= message.status < 200):
             self.whole.append(message)
 
-    def lines(self):
+    def lines(self) -> list[bytes]:
         """Takes the whole lines out of a body that is still coming, and moves the rest down."""
         end = self.buffer.rfind(b"\n", 0, self.kept) + 1
-        text = bytes(self.view[:end])
-        rest = self.kept - end
+        text, rest = bytes(self.view[:end]), self.kept - end
         self.view[:rest] = bytes(self.view[end:self.kept])
         self.kept = rest
         return text.split(b"\n")[:-1]
 
     # Writing
 
-    def push(self, data: bytes):
+    def push(self, data: bytes, last: bool = False):
         """Writes at once what the socket takes; the rest goes out in a greenlet of its own."""
         try:
             sent = os.write(self.sock.fileno(), data)
@@ -128,13 +169,18 @@
         except OSError:
             return self.close()
         if sent < len(data):
-            gevent.spawn(self.push_rest, data[sent:])
+            self.rest = gevent.spawn(self.push_rest, data[sent:], last)
+        elif last:
+            self.close()
 
-    def push_rest(self, data: bytes):
+    def push_rest(self, data: bytes, last: bool):
         try:
             self.sock.settimeout(STALLED)
             self.sock.sendall(data)
         except OSError:
+            last = True
+        self.rest = None
+        if last:
             self.close()
 
     def stale(self) -> bool:
@@ -152,3 +198,4 @@
         if not self.closed:
             self.closed = True
             self.sock.close()
+            self.on_close(self)
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -12,12 +12,16 @@
 from gevent import socket
 from gevent.event import Event
 
+from cartdeal.agent.connection import BODY_ROOM, HEAD_ROOM, Room
 from cartdeal.agent.front import Front
 from cartdeal.agent.reducer import Reducer
 from cartdeal.agent.roster import Roster
 from cartdeal.agent.shots import Shots
 
 LONGEST_WORDS = 256
+RESERVED = 32       # descriptors for the list service, the agents, the log and the loop itself
+OWN_MEMORY = 48.0   # megabytes that the agent holds before its first connection, with room to spare
+PER_CONNECTION = 2 * (HEAD_ROOM + BODY_ROOM) / 1e6    # its buffer and the body it brought, at their longest
 
 log = logging.getLogger("cartdeal.agent")
 
@@ -29,8 +33,9 @@
         self.order = 0
         self.sooner = Event()
         self.reducer = Reducer(station, monotonic(), time())
-        self.front = Front(station, self.feed, lambda: self.reducer.ready)
-        self.shots = Shots(station, self.feed)
+        self.room = Room(room_for(station.limits))
+        self.front = Front(station, self.feed, lambda: self.reducer.ready, self.room)
+        self.shots = Shots(station, self.feed, self.room)
         self.roster = Roster(station, self.feed, lambda: self.reducer.version)
         self.words = self.open_words()
         self.verbs = {
@@ -43,10 +48,8 @@
 
     def start(self):
         self.carry_out()
-        for work in (self.keep_time, self.shots.sweep, self.front.accept):
-            gevent.spawn(work)
-        if self.words:
-            gevent.spawn(self.hear)
+        works = [self.keep_time, self.shots.sweep, self.front.accept] + [self.hear] * bool(self.words)
+        self.works = [gevent.spawn(work) for work in works]
 
     def feed(self, event: str, *args):
         """One event into the reducer, after the timers that were due before it."""
@@ -114,9 +117,14 @@
                 self.feed("told", senders[address], text)
 
     def tell(self, agent: int, words: bytes):
-        to = self.station.everyone if agent < 0 else self.station.neighbours[agent]
+        neighbours = self.station.neighbours
+        to = self.station.everyone if agent < 0 else neighbours[agent] if agent < len(neighbours) else None
         if self.words and to and len(words) <= LONGEST_WORDS:
             self.words.sendto(words, to)
 
     def note(self, text: str):
         log.info("note", extra={"words": text})
+
+
+def room_for(limits) -> int:
+    return int(min(limits.descriptors - RESERVED, (limits.memory - OWN_MEMORY) / PER_CONNECTION))
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -7,79 +7,130 @@
 import hashlib
 import logging
 import re
+from time import monotonic
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, Malformed
+from cartdeal.agent.connection import Connection, Malformed, Room
 from cartdeal.agent.reducer import Query
-from cartdeal.grant import Grant
+from cartdeal.grant import REPEATS, Grant
+from cartdeal.terms import Repeat
 
-STALL = 10.0        # how long a client may take over half a request
+STALL = 10.0        # how long a client may take over one request
 IDLE = 120.0        # how long a client's connection may stand idle
+LINGER = 1.0        # how long a client whose request was refused may go on sending, unread
 MARGIN = 0.01       # kept free of a lookup's time for the agent's own work
+AHEAD = 16          # requests that may wait on one connection for the answer to the one before
 
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 413: b"Content Too Large",
-           431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable"}
-WAIT = re.compile(rb"([0-9]{1,12})(m|u)")
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
+           503: b"Service Unavailable"}
+WAIT = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)(m|u)")
 UNITS = {b"m": 1e3, b"u": 1e6}
 SESSION = re.compile(rb"(?:^|;)\s*sid=([^;]*)")
+FIGURE = re.compile(rb"(?:^|,)\s*(\w+)=([0-9]{1,12})(?=\s*(?:,|$))")
 
 log = logging.getLogger("cartdeal.front")
 
 
 class Line(Connection):
-    """A connection of the application; `lookup` is the one that it waits for."""
+    """A connection of the application; while it `waits`, `lookup` is the one that it waits for."""
 
-    def __init__(self, sock):
-        super().__init__(sock, answers=False)
-        self.lookup, self.waits, self.keep = 0, False, True
+    def __init__(self, sock, on_close):
+        super().__init__(sock, answers=False, on_close=on_close)
+        self.lookup, self.waits, self.keep, self.stands = 0, False, True, True
+        self.since = monotonic()
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        self.since = monotonic()
+
+    def on_headers_complete(self):
+        super().on_headers_complete()
+        if self.message.headers.get(b"expect", b"").lower() == b"100-continue" and not self.waits:
+            self.push(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def patience(self) -> float | None:
+        if self.waits:
+            return None
+        return max(0.0, self.since + STALL - monotonic()) if self.midway else IDLE
 
 
 class Front:
-    def __init__(self, station, feed, ready):
+    def __init__(self, station, feed, ready, room: Room):
         self.grant: Grant = station.grant
-        self.feed, self.ready = feed, ready
+        self.feed, self.ready, self.room = feed, ready, room
         self.workloads = {kind.name.encode(): place for place, kind in enumerate(self.grant.workloads)}
-        self.tenants = {each.name: place for place, each in enumerate(self.grant.tenants)}
         self.lines: set[Line] = set()
-        self.ending = False
+        self.ending, self.changed = False, Event()
+        room.closers.append(self.close_idle)
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(station.listen)
         self.listener.listen(512)
+        self.port = self.listener.getsockname()[1]
 
     def accept(self):
-        while True:
+        while not self.ending:
+            # Without a descriptor to spare, clients wait in the listening queue until one is free.
+            while not self.room.take():
+                self.room.freed.clear()
+                self.room.freed.wait()
             try:
                 sock, _ = self.listener.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except OSError as trouble:
-                if self.listener.fileno() < 0:
-                    return
-                log.warning("accept failed", extra={"words": str(trouble)})
-                gevent.sleep(0.05)
+                self.room.give()
+                if not self.ending:
+                    log.warning("accept failed", extra={"words": str(trouble)})
+                    gevent.sleep(0.05)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            line = Line(sock)
+            line = Line(sock, self.closed)
             self.lines.add(line)
             gevent.spawn(self.serve, line)
 
     def serve(self, line: Line):
         try:
-            while line.receive(None if line.waits else STALL if line.head or line.kept else IDLE):
+            while line.receive(line.patience()):
                 self.begin(line)
+                if len(line.whole) > AHEAD:
+                    raise Malformed(400, "too many requests ahead of their answers")
         except Malformed as trouble:
-            if not line.waits:
-                self.say(line, trouble.status, str(trouble).encode())
+            self.refuse(line, trouble)
         except OSError:
             pass
         except Exception:
             log.exception("connection died")
         finally:
-            if line.waits:
-                line.waits = False
-                self.feed("abandoned", line.lookup)
-            self.close(line)
+            if line.stands:
+                self.leave(line)
+
+    def leave(self, line: Line):
+        if line.waits:
+            line.waits = False
+            self.feed("abandoned", line.lookup)
+        line.close()
+
+    def refuse(self, line: Line, trouble: Malformed):
+        """No more is read as requests; what was taken before it is still answered."""
+        log.info("refused", extra={"status": trouble.status, "words": str(trouble)})
+        line.keep = line.stands = False
+        line.whole.clear()
+        if line.waits:
+            return
+        line.push(worded(trouble.status, str(trouble).encode(), b"Connection: close\r\n"))
+        try:
+            # To close with bytes unread would reset the connection, and the answer with it.
+            line.sock.shutdown(socket.SHUT_WR)
+            until = monotonic() + LINGER
+            line.sock.settimeout(LINGER)
+            while monotonic() < until and line.sock.recv(4096):
+                pass
+        except OSError:
+            pass
+        line.close()
 
     def begin(self, line: Line):
         """Takes the next lookup that has come whole, once the one before it is answered."""
@@ -99,23 +150,31 @@
             self.feed("taken", line, query)
 
     def query(self, message, path: bytes) -> Query:
-        headers = message.headers
+        headers, mark = message.headers, message.headers.get(b"idempotency-key", b"")
         workload = self.workloads.get(path[1:].partition(b"/")[0])
         if workload is None:
             raise Malformed(404, "no such workload")
+        if message.method not in (b"GET", b"POST"):
+            raise Malformed(405, "neither GET nor POST")
         if not headers.get(b"x-request-id"):
             raise Malformed(400, "no X-Request-ID")
-        wait = self.grant.workloads[workload].limit
+        kind = self.grant.workloads[workload]
+        wait = kind.limit
         if b"x-timeout" in headers:
             found = WAIT.fullmatch(headers[b"x-timeout"].strip())
             if not found:
                 raise Malformed(400, "X-Timeout is no number with m or u")
-            wait = int(found[1]) / UNITS[found[2]]
+            wait = float(found[1]) / UNITS[found[2]]
         session = SESSION.search(headers.get(b"cookie", b""))
+        figures = {name: int(value) for name, value in FIGURE.findall(headers.get(b"x-attrs", b""))}
+        repeat = REPEATS.get(kind.repeat, Repeat.UNREPEATABLE)
+        promised = message.method == b"GET" or repeat is Repeat.DEDUPLICATED and bool(mark)
+        tenant = figures.get(b"project", 0)
         return Query(
-            workload, 0, hashed(session[1]) if session else 0, max(0.0, wait - MARGIN), 0.0,
-            headers.get(b"x-retried") == b"1", message.method, message.path, headers[b"x-request-id"],
-            headers.get(b"idempotency-key", b""), headers.get(b"content-type", b""), message.body)
+            workload, not promised, tenant if tenant < len(self.grant.tenants) else 0,
+            hashed(session[1]) if session else 0, wait - min(MARGIN, wait / 10),
+            figures.get(b"weightHintUs", 0) / 1e6, headers.get(b"x-retried") == b"1", message.method,
+            message.path, headers[b"x-request-id"], mark, headers.get(b"content-type", b""), message.body)
 
     # Effects
 
@@ -130,28 +189,39 @@
         self.say(line, status, body, extra)
         if line.whole:
             gevent.spawn(self.begin, line)
+        self.changed.set()
 
     def say(self, line: Line, status: int, body: bytes = b"", extra: bytes = b""):
-        keep = line.keep and not self.ending and status not in (400, 413, 431)
-        line.push(b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b" % (
-            status, REASONS[status], len(body), extra, b"" if keep else b"Connection: close\r\n", body))
-        if not keep:
-            self.close(line)
+        last = not line.keep or self.ending
+        line.push(worded(status, body, extra + b"Connection: close\r\n" * last), last)
 
-    def close(self, line: Line):
+    def closed(self, line: Line):
         self.lines.discard(line)
-        line.close()
+        self.room.give()
+        self.changed.set()
+
+    def between(self) -> list[Line]:
+        """The connections that stand between lookups."""
+        return [each for each in self.lines if not (each.waits or each.midway or each.whole or each.rest)]
+
+    def close_idle(self) -> bool:
+        idle = min(self.between(), key=lambda line: line.since, default=None)
+        if idle:
+            idle.close()
+        return bool(idle)
 
     def end(self):
-        """Closes the door and every connection that stands between lookups."""
         self.ending = True
         self.listener.close()
-        for line in [each for each in self.lines if not each.waits]:
-            self.close(line)
+        for line in self.between():
+            line.close()
+
+
+def worded(status: int, body: bytes, extra: bytes) -> bytes:
+    return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b\r\n%b" % (
+        status, REASONS[status], len(body), extra, body)
 
 
 def hashed(key: bytes) -> int:
     """The same in every process, unlike hash()."""
     return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "little") or 1
-
-
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -6,12 +6,14 @@
 """
 
 import logging
+from dataclasses import replace
 from enum import IntEnum
+from math import inf
 from typing import NamedTuple
 
 from cartdeal.agent.configuration import Roll, Station
 from cartdeal.choice import Balancer
-from cartdeal.terms import Listing, Load, Outcome, State
+from cartdeal.terms import Listing, Load, Outcome, Repeat, State
 
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 OVERDUE = 0.02      # how long after its time limit a lookup that the balancer forgot is answered all the same
@@ -67,6 +69,7 @@
     """A lookup as the application asked it."""
 
     workload: int
+    strict: bool        # its form promises less than its workload: it may run once at most
     tenant: int
     key: int
     wait: float         # how long the client waits, from when its bytes were read
@@ -94,13 +97,18 @@
         self.boot = wall - now      # the one mapping between the list's clock and the agent's own
         self.asked = []
         self.count = 0
+        self.end_at = inf           # when the agent is to have answered all
         self.lookups: dict[int, Owed] = {}
         self.version = 0
         self.indices: dict[bytes, int] = {}
         self.names: list[bytes] = []
         self.addresses: list[str] = []
+        self.started: list[float] = []
         self.zones = {name: place for place, name in enumerate(station.grant.zones)}
-        self.balancer = Balancer(self, station.grant.charter(station.seed))
+        charter = station.grant.charter(station.seed)
+        # A second set, for lookups whose form promises less than their workload: these may run once at most.
+        strict = tuple(each._replace(repeat=Repeat.UNREPEATABLE) for each in charter.workloads)
+        self.balancer = Balancer(self, replace(charter, workloads=charter.workloads + strict))
         self.listed(station.known, fresh=False)
 
     @property
@@ -115,11 +123,12 @@
 
     def taken(self, asker, query: Query):
         self.count += 1
-        number, limit_at = self.count, self.now + query.wait
+        number, limit_at = self.count, min(self.now + query.wait, self.end_at)
         self.lookups[number] = Owed(asker, query, limit_at)
         self.asked.append(("begun", asker, number))
         self.asked.append(("remind", number, limit_at + OVERDUE))
-        self.balancer.taken(number, query.workload, query.tenant, query.key, limit_at, query.cost,
+        workload = query.workload + query.strict * len(self.station.grant.workloads)
+        self.balancer.taken(number, workload, query.tenant, query.key, limit_at, query.cost,
                             query.repeat)
 
     def abandoned(self, number: int):
@@ -147,16 +156,24 @@
     def woken(self, token: int):
         self.balancer.woken(token)
 
+    def ending(self, end_at: float):
+        """What is out by then is terminated: an agent that is killed loses what it has not answered."""
+        self.end_at = end_at
+        for number, owed in self.lookups.items():
+            if owed.limit_at > end_at:
+                self.asked.append(("remind", number, end_at))
+
     def overdue(self, number: int):
         """The balancer answers every lookup; should a fault have kept it from it, this does."""
         owed = self.lookups.get(number)
         if owed and owed.asker is not None:
-            log.error("lookup overdue", extra={"lookup": number})
+            log.warning("lookup overdue", extra={"lookup": owed.query.id.decode("latin-1")})
             self.terminate(number)
             self.balancer.abandoned(number)
 
     def listed(self, roll: Roll, fresh: bool = True):
         self.version = roll.version
+        self.note(f"list {roll.version}: {len(roll.lines)} lines{' in all' * roll.whole}")
         lines = [self.listing(line) for line in roll.lines]
         if roll.whole:
             here = {line.server for line in lines}
@@ -164,6 +181,10 @@
                       for index, name in enumerate(self.names) if index not in here]
         self.balancer.listed(lines, fresh)
 
+    def watch_stands(self):
+        """A watch was answered, with nothing new."""
+        self.balancer.listed([], True)
+
     def watch_failed(self):
         self.balancer.watch_failed()
 
@@ -173,14 +194,18 @@
     def listing(self, line) -> Listing:
         name = line.name.encode()
         index = self.indices.setdefault(name, len(self.names))
+        state = STATES.get(line.state, State.DRAINING)
+        started = line.started / 1e3 - self.boot if line.started else 0.0
         if index == len(self.names):
             self.names.append(name)
             self.addresses.append(line.address)
-        elif line.address:
-            self.addresses[index] = line.address
-        started = line.started / 1e3 - self.boot if line.started else 0.0
-        return Listing(index, name, self.zones.get(line.zone, 0), 0, line.cell,
-                       STATES.get(line.state, State.DRAINING), line.weight, started)
+            self.started.append(started)
+        elif state is State.GONE or started != self.started[index] or line.address != self.addresses[index]:
+            # A kept connection to what stood there before would cost a shot.
+            self.close_idle(index)
+            self.started[index] = started
+            self.addresses[index] = line.address or self.addresses[index]
+        return Listing(index, name, self.zones.get(line.zone, 0), 0, line.cell, state, line.weight, started)
 
     # What the balancer asks for
 
--- a/cartdeal/agent/roster.py
+++ b/cartdeal/agent/roster.py
@@ -11,10 +11,11 @@
 import msgspec
 from gevent import socket
 
-from cartdeal.agent.configuration import Roll
+from cartdeal.agent.configuration import Fault, Roll, address
 from cartdeal.agent.connection import Connection, Malformed
 
 PATH = "/registry/instances"
+LIST_ROOM = 4 << 20     # the longest list, or line of one
 ANSWER = 3.0        # how long a call may take to its first line
 SILENCE = 5.0       # a watch has a line every two seconds; TCP does not tell that a service is gone
 
@@ -23,7 +24,7 @@
 
 class Roster:
     def __init__(self, station, feed, version):
-        self.address, self.feed, self.version = station.list_service, feed, version
+        self.address, self.feed, self.version = station.list_service, feed, version     # version: a call
         self.watching = None
 
     # Effects
@@ -48,7 +49,7 @@
             return
         except TimeoutError:
             words = "silent"
-        except (OSError, Malformed, msgspec.MsgspecError, UnicodeError) as trouble:
+        except (OSError, Malformed, Fault, msgspec.MsgspecError, UnicodeError) as trouble:
             words = str(trouble)
         except Exception:
             log.exception("watch died")
@@ -66,8 +67,8 @@
                     raise Malformed(400, "ended early")
             if connection.whole[0].status != 200:
                 raise Malformed(400, f"status {connection.whole[0].status}")
-            self.feed("listed", msgspec.json.decode(connection.whole[0].body, type=Roll))
-        except (OSError, Malformed, msgspec.MsgspecError, UnicodeError) as trouble:
+            self.feed("listed", roll(connection.whole[0].body))
+        except (OSError, Malformed, Fault, msgspec.MsgspecError, UnicodeError) as trouble:
             log.warning("list not had", extra={"words": str(trouble)})
             self.feed("watch_failed")
         finally:
@@ -83,16 +84,18 @@
                     raise Malformed(400, f"status {connection.message.status}")
                 for text in connection.lines():
                     if text.strip():
-                        self.feed("listed", msgspec.json.decode(text, type=Roll))
+                        self.feed("listed", roll(text))
+                    elif wait == ANSWER:
+                        self.feed("watch_stands")
+                    wait = SILENCE
                 if connection.whole:
                     return
-                wait = SILENCE
         finally:
             connection.close()
 
     def call(self, path: str) -> Connection:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        connection = Connection(sock, answers=True)
+        connection = Connection(sock, answers=True, body_room=LIST_ROOM)
         try:
             sock.settimeout(ANSWER)
             sock.connect(self.address)
@@ -101,3 +104,11 @@
             connection.close()
             raise
         return connection
+
+
+def roll(text: bytes) -> Roll:
+    found = msgspec.json.decode(text, type=Roll)
+    for line in found.lines:
+        if line.state != "left":
+            address("endpoint", line.address)
+    return found
--- a/cartdeal/agent/shots.py
+++ b/cartdeal/agent/shots.py
@@ -11,11 +11,12 @@
 import msgspec
 from gevent import socket
 
-from cartdeal.agent.connection import Connection, Malformed
+from cartdeal.agent.connection import Connection, Malformed, Room
 from cartdeal.agent.reducer import Cause, Ending, Progress
 from cartdeal.grant import seconds
 from cartdeal.terms import Load
 
+SPARE = 8           # one in so many descriptors is left to the application's connections
 KEPT = 0.6          # share of the server's idle time after which a kept connection is closed
 CONNECT = 1.0       # bound on connecting where the deployment sets none
 PROBE = 2.0         # a probe may take this many times the bound on connecting
@@ -32,7 +33,7 @@
         self.progress = Progress.NOT_CONNECTED
         self.connection = None
         self.greenlet = None
-        self.given_up = False
+        self.begun = self.given_up = False
 
     def end(self, cause: Cause, words: str = "") -> Ending:
         if self.given_up:
@@ -41,16 +42,16 @@
 
 
 class Shots:
-    def __init__(self, station, feed):
+    def __init__(self, station, feed, room: Room):
         leave = station.grant.leave
-        self.feed = feed
+        self.feed, self.room = feed, room
         self.connect_limit = seconds(leave.connect_limit) or CONNECT
         self.kept_for = KEPT * (seconds(leave.idle_limit) or 10.0)
         self.reports = station.grant.reports
         self.probe_path = b"/health/live" if self.reports.how == "none" else b"/stats"
         self.idle: dict[str, list[Connection]] = {}
         self.out: dict[tuple[int, int], Shot] = {}
-        self.open = 0
+        room.closers.append(self.close_oldest)
 
     # Effects
 
@@ -62,22 +63,32 @@
         shot = self.out.get((lookup, number))
         if shot:
             shot.given_up = True
-            shot.greenlet.kill(block=False)
+            if shot.begun:  # one that is killed before it began would end without a word
+                shot.greenlet.kill(block=False)
 
     def probe(self, server: int, address: str):
         gevent.spawn(self.run_probe, server, address)
 
     def close_idle(self, address: str):
         for connection in self.idle.pop(address, ()):
-            self.close(connection)
+            connection.close()
+
+    def close_oldest(self) -> bool:
+        oldest = min(self.idle, key=lambda address: self.idle[address][0].since, default=None)
+        if oldest is None:
+            return False
+        self.idle[oldest].pop(0).close()
+        self.tidy(oldest)
+        return True
 
     # Greenlets
 
     def run_shot(self, shot, lookup, number, server, address, query, until):
-        try:
-            ending = self.exchange(shot, address, until, lambda: written(query, until))
-        finally:
-            self.out.pop((lookup, number), None)
+        ending = self.exchange(shot, address, until, lambda: written(query, until))
+        del self.out[lookup, number]
+        if ending.cause is not Cause.ANSWERED or ending.status != 200:
+            log.info("shot ended", extra={"lookup": query.id.decode("latin-1"), "address": address,
+                                          "outcome": ending.outcome().value, "words": ending.words})
         self.feed("shot_ended", lookup, server, number, ending)
 
     def run_probe(self, server, address):
@@ -98,8 +109,10 @@
 
     def exchange(self, shot: Shot, address: str, until: float, text) -> Ending:
         """Writes one request and reads its whole answer. Whatever goes wrong comes back as an Ending."""
-        answer = None
+        answer, shot.begun = None, True
         try:
+            if shot.given_up:
+                return shot.end(Cause.GIVEN_UP)
             shot.connection = self.kept(address) or self.connect(address, until)
             self.write(shot, text(), until)
             answer = self.read(shot, until)
@@ -108,11 +121,11 @@
             shot.progress = Progress.WHOLE
             return Ending(Cause.ANSWERED, shot.progress, monotonic() - shot.sent, answer.status,
                           answer.headers.get(b"x-not-processed") == b"1",
-                          answer.headers.get(b"content-type", b""), answer.body)
+                          answer.headers.get(b"content-type", b""), answer.body, f"status {answer.status}")
         except gevent.GreenletExit:
             return shot.end(Cause.GIVEN_UP)
-        except TimeoutError:
-            return shot.end(Cause.TIMED_OUT)
+        except (TimeoutError, BlockingIOError):
+            return shot.end(Cause.TIMED_OUT, "no answer in time")
         except (OSError, Malformed) as trouble:
             return shot.end(Cause.BROKEN, str(trouble))
         except Exception as trouble:
@@ -123,17 +136,14 @@
             if connection and answer and answer.keep and not connection.whole and not shot.given_up:
                 self.keep(address, connection)
             elif connection:
-                self.close(connection)
+                connection.close()
 
     def write(self, shot: Shot, text: bytes, until: float):
         sock, rest = shot.connection.sock, memoryview(text)
         while rest:
             sock.settimeout(left(until))
-            # Before the write: what is told of a shot must never say less than what may have gone out.
-            last = len(rest)
-            count = sock.send(rest)
-            shot.progress = Progress.WRITTEN if count == last else Progress.PARTLY_WRITTEN
-            rest = rest[count:]
+            rest = rest[sock.send(rest):]
+            shot.progress = Progress.PARTLY_WRITTEN if rest else Progress.WRITTEN
 
     def read(self, shot: Shot, until: float):
         connection = shot.connection
@@ -147,15 +157,22 @@
     # Connections
 
     def kept(self, address: str) -> Connection | None:
-        idle = self.idle.get(address)
-        while idle:
-            connection = idle.pop()
+        while address in self.idle:
+            connection = self.idle[address].pop()
+            self.tidy(address)
             if not connection.stale():
                 return connection
-            self.close(connection)
+            connection.close()
         return None
 
+    def tidy(self, address: str):
+        if not self.idle[address]:
+            del self.idle[address]
+
     def connect(self, address: str, until: float) -> Connection:
+        # No room is no crash: such a shot never ran, and the balancer finds it another way or turns it back.
+        if not self.room.take(self.room.most // SPARE):
+            raise OSError("no descriptor to spare")
         host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -164,39 +181,32 @@
             sock.connect((host, int(port)))
         except BaseException:
             sock.close()
+            self.room.give()
             raise
-        self.open += 1
-        return Connection(sock, answers=True)
+        return Connection(sock, answers=True, on_close=lambda connection: self.room.give())
 
     def keep(self, address: str, connection: Connection):
         connection.since = monotonic()
         self.idle.setdefault(address, []).append(connection)
 
-    def close(self, connection: Connection):
-        if not connection.closed:
-            self.open -= 1
-            connection.close()
-
     def sweep(self):
         while True:
             gevent.sleep(SWEEP)
             before = monotonic() - self.kept_for
             for address, idle in list(self.idle.items()):
                 while idle and idle[0].since < before:
-                    self.close(idle.pop(0))
-                if not idle:
-                    del self.idle[address]
+                    idle.pop(0).close()
+                self.tidy(address)
 
 
 def left(until: float) -> float:
-    rest = until - monotonic()
-    if rest <= 0:
-        raise TimeoutError
-    return rest
+    return max(0.0, until - monotonic())
 
 
 def written(query, until: float) -> bytes:
-    wait = max(1, int((until - monotonic()) * 1000))
+    wait = int(left(until) * 1000)
+    if not wait:
+        raise TimeoutError
     head = b"%b %b HTTP/1.1\r\nHost: backend\r\nX-Request-ID: %b\r\nX-Timeout: %dm\r\n" % (
         query.method, query.path, query.id, wait)
     if query.mark:
