Test the agent on sockets and its reducer by traces; fix what they found

- A malformed request behind a whole one took that lookup's answer with it (front.py, refuse): it is answered first now, the refusal follows.
- A connection just accepted counted as idle and was closed with its first request under way (close_idle): only one that has asked before is closed to make room, and the door is woken when one becomes idle.
- Idle connections to a server that a whole list no longer names were kept (reducer.py, listed).

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -35,7 +35,10 @@
 
 
 class Room:
-    """How many connections there may be. Where there is none left, idle ones are closed to make some."""
+    """How many connections there may be. Where there is none left, idle ones are closed to make some.
+
+    `freed` is set when one is closed or becomes idle.
+    """
 
     def __init__(self, most: int):
         self.most, self.used, self.closers, self.freed = most, 0, [], Event()
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -40,7 +40,8 @@
 
     def __init__(self, sock, on_close):
         super().__init__(sock, answers=False, on_close=on_close)
-        self.lookup, self.waits, self.keep, self.stands = 0, False, True, True
+        self.lookup, self.waits, self.keep, self.asked = 0, False, True, False
+        self.refused = None     # what came that ends the connection once all before it is answered
         self.since = monotonic()
 
     def on_message_begin(self):
@@ -52,10 +53,13 @@
         if self.message.headers.get(b"expect", b"").lower() == b"100-continue" and not self.waits:
             self.push(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def between(self) -> bool:
+        return not (self.waits or self.midway or self.whole or self.rest or self.refused)
+
     def patience(self) -> float | None:
         if self.waits:
             return None
-        return max(0.0, self.since + STALL - monotonic()) if self.midway else IDLE
+        return IDLE if self.asked and not self.midway else max(0.0, self.since + STALL - monotonic())
 
 
 class Front:
@@ -98,13 +102,15 @@
                 if len(line.whole) > AHEAD:
                     raise Malformed(400, "too many requests ahead of their answers")
         except Malformed as trouble:
-            self.refuse(line, trouble)
+            log.info("refused", extra={"status": trouble.status, "words": str(trouble)})
+            line.refused = trouble
+            self.begin(line)
         except OSError:
             pass
         except Exception:
             log.exception("connection died")
         finally:
-            if line.stands:
+            if not line.refused:
                 self.leave(line)
 
     def leave(self, line: Line):
@@ -113,14 +119,8 @@
             self.feed("abandoned", line.lookup)
         line.close()
 
-    def refuse(self, line: Line, trouble: Malformed):
-        """No more is read as requests; what was taken before it is still answered."""
-        log.info("refused", extra={"status": trouble.status, "words": str(trouble)})
-        line.keep = line.stands = False
-        line.whole.clear()
-        if line.waits:
-            return
-        line.push(worded(trouble.status, str(trouble).encode(), b"Connection: close\r\n"))
+    def refuse(self, line: Line):
+        line.push(worded(line.refused.status, str(line.refused).encode(), b"Connection: close\r\n"))
         try:
             # To close with bytes unread would reset the connection, and the answer with it.
             line.sock.shutdown(socket.SHUT_WR)
@@ -136,7 +136,7 @@
         """Takes the next lookup that has come whole, once the one before it is answered."""
         while line.whole and not line.waits and not line.closed:
             message = line.whole.pop(0)
-            line.keep = message.keep
+            line.keep, line.asked = message.keep, True
             path = message.path.partition(b"?")[0]
             if path == b"/health/ready":
                 self.say(line, 200 if self.ready() else 503)
@@ -148,6 +148,8 @@
                 continue
             line.waits = True
             self.feed("taken", line, query)
+        if line.refused and not line.waits and not line.closed:
+            gevent.spawn(self.refuse, line)
 
     def query(self, message, path: bytes) -> Query:
         headers, mark = message.headers, message.headers.get(b"idempotency-key", b"")
@@ -187,8 +189,9 @@
         if wait:
             extra += b"Retry-After: %.3f\r\n" % wait
         self.say(line, status, body, extra)
-        if line.whole:
+        if line.whole or line.refused:
             gevent.spawn(self.begin, line)
+        self.room.freed.set()   # it may be closed now for one that waits at the door
         self.changed.set()
 
     def say(self, line: Line, status: int, body: bytes = b"", extra: bytes = b""):
@@ -200,12 +203,10 @@
         self.room.give()
         self.changed.set()
 
-    def between(self) -> list[Line]:
-        """The connections that stand between lookups."""
-        return [each for each in self.lines if not (each.waits or each.midway or each.whole or each.rest)]
-
     def close_idle(self) -> bool:
-        idle = min(self.between(), key=lambda line: line.since, default=None)
+        # One that has not asked anything yet has its first request under way: to close it would reset that.
+        idle = min((line for line in self.lines if line.asked and line.between()),
+                   key=lambda line: line.since, default=None)
         if idle:
             idle.close()
         return bool(idle)
@@ -213,7 +214,7 @@
     def end(self):
         self.ending = True
         self.listener.close()
-        for line in self.between():
+        for line in [each for each in self.lines if each.between()]:
             line.close()
 
 
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -177,8 +177,9 @@
         lines = [self.listing(line) for line in roll.lines]
         if roll.whole:
             here = {line.server for line in lines}
-            lines += [Listing(index, name, 0, 0, 0, State.GONE, 1.0, 0.0)
-                      for index, name in enumerate(self.names) if index not in here]
+            for index in set(range(len(self.names))) - here:
+                lines.append(Listing(index, self.names[index], 0, 0, 0, State.GONE, 1.0, 0.0))
+                self.close_idle(index)
         self.balancer.listed(lines, fresh)
 
     def watch_stands(self):
--- a/cartdeal/agent/shots.py
+++ b/cartdeal/agent/shots.py
@@ -188,6 +188,7 @@
     def keep(self, address: str, connection: Connection):
         connection.since = monotonic()
         self.idle.setdefault(address, []).append(connection)
+        self.room.freed.set()
 
     def sweep(self):
         while True:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -1,11 +1,19 @@
 """A host that prints what an agent decides, for comparison with the traces kept beside the tests."""
 
+import json
 import os
 from bisect import insort
 from pathlib import Path
 
+import gevent
+from gevent import socket
+
+from cartdeal.agent import configuration
+from cartdeal.agent.connection import Connection
+from cartdeal.agent.effects import Effects
 from cartdeal.choice import Balancer
 from cartdeal.terms import Charter, Group, Listing, Outcome, Repeat, State, Workload
+from examples.toy import ListService, Server
 
 TRACES = Path(__file__).parent / "traces"
 READ = Workload(Repeat.IDEMPOTENT, Group.CELL, 5.0, 1.0, 1.0)
@@ -97,7 +105,82 @@
                 self.end(lookup, (outcomes or {}).get(chr(self.shots[lookup][0]), Outcome.COMPLETED))
 
     def kept(self, name):
-        file, trace = TRACES / f"{name}.txt", "\n".join(self.lines) + "\n"
-        if os.environ.get("TRACES") == "write":
-            file.write_text(trace)
-        assert trace == file.read_text()
+        kept(name, self.lines)
+
+
+def kept(name, lines):
+    file, trace = TRACES / f"{name}.txt", "\n".join(lines) + "\n"
+    if os.environ.get("TRACES") == "write":
+        file.write_text(trace)
+    assert trace == file.read_text()
+
+
+# The agent: stations to start it at, and a deployment of toys round it.
+
+GRANT = {
+    "areas": ["a", "b"], "az": 0, "myNumber": 0, "groupSize": 2, "discovery": "on_request",
+    "caps": {"maxShots": 3, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 2000000, "peers": True,
+             "connectTimeoutUs": 250000, "idleCloseUs": 30000000},
+    "rules": {"askEveryUs": 10000000, "coldFrom": 0.2, "coldUs": 10000000, "fallUs": 2000000},
+    "workloads": [
+        {"name": "read", "idempotency": "safe", "goalTimeUs": 1000000, "timeLimitUs": 2000000},
+        {"name": "mark", "idempotency": "keyed", "group": "all", "repeatWindowUs": 4000000,
+         "goalTimeUs": 1000000, "timeLimitUs": 2000000},
+        {"name": "once", "idempotency": "unsafe", "goalTimeUs": 1000000, "timeLimitUs": 2000000}]}
+
+
+def papers(**more):
+    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
+            "limits": {"memory_mb": 192, "sockets": 1024}, "settings": GRANT} | more
+
+
+def station(folder, **more):
+    file = folder / "config.json"
+    file.write_text(json.dumps(papers(**more)))
+    return configuration.read({"PROXY_CONFIG": str(file)})
+
+
+class Deployment:
+    """Toy servers, a toy list service and an agent in one process; lookups go in by `ask`."""
+
+    def __init__(self, folder, servers=1, **more):
+        self.servers = [Server(f"s{place}") for place in range(servers)]
+        self.service = ListService()
+        self.service.lines = {server.name: server.line() for server in self.servers}
+        known = {"rev": 1, "all": True, "targets": list(self.service.lines.values())}
+        self.papers = papers(discovery=self.service.address, known=known) | more
+        self.agent = Effects(station(folder, **self.papers))
+        self.agent.start()
+
+    def connect(self):
+        return Connection(socket.create_connection(("127.0.0.1", self.agent.front.port)), answers=True)
+
+    def ask(self, path="/read/x", method="GET", body=b"", connection=None, **headers):
+        """One lookup from first byte to last; gives the answer's status and body."""
+        connection = connection or self.connect()
+        connection.sock.sendall(worded(path, method, body, **headers))
+        return answered(connection)
+
+    def seen(self):
+        return [message.path.decode() for server in self.servers for message in server.seen]
+
+    def stop(self):
+        gevent.killall(self.agent.works)
+        self.agent.front.end()
+        for each in (*self.servers, self.service):
+            each.stop()
+
+
+def worded(path="/read/x", method="GET", body=b"", **headers):
+    named = {"X-Request-ID": "1", "Content-Length": str(len(body))}
+    named |= {name.replace("_", "-"): value for name, value in headers.items()}
+    head = "".join(f"{name}: {value}\r\n" for name, value in named.items() if value is not None)
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+def answered(connection):
+    while not connection.whole:
+        if not connection.receive(5.0):
+            return None
+    message = connection.whole.pop(0)
+    return message.status, message.body
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,160 @@
+import pytest
+
+from cartdeal.agent import configuration
+from cartdeal.agent.configuration import Line, Roll
+from cartdeal.agent.reducer import Cause, Ending, Progress, Query, Reducer
+from cartdeal.terms import Outcome
+from tests.scene import kept, papers, station
+
+SERVERS = [{"uid": f"s{n}", "endpoint": f"127.0.0.1:{n}", "az": "a"} for n in (1, 2)]
+
+
+class Desk:
+    """Plays events into a reducer on a clock of its own, and prints what it asks for."""
+
+    def __init__(self, folder, boot=1000.0):
+        known = {"rev": 3, "all": True, "targets": SERVERS}
+        self.lines, self.at = [], {}
+        self.reducer = Reducer(station(folder, known=known), 100.0, 100.0 + boot)
+        self.say("start")
+
+    def play(self, after, event, *args):
+        self.reducer.now += after
+        getattr(self.reducer, event)(*args)
+        self.say(event)
+
+    def say(self, event):
+        self.lines.append(f"{self.reducer.now - 100:5.2f}  {event}")
+        for verb, *args in self.reducer.asked:
+            if verb == "shoot":
+                self.at[tuple(args[:2])] = args[2]
+            if verb not in ("note", "begun", "wake"):
+                words = " ".join(self.show(each) for each in args)
+                self.lines.append(f"         {verb} {words}".rstrip())
+        self.reducer.asked.clear()
+
+    def show(self, each):
+        if isinstance(each, Query):
+            return each.path.decode()
+        if isinstance(each, float):
+            return f"{each:.2f}" if each < 100 else f"@{each - 100:.2f}"
+        return each.decode() if isinstance(each, bytes) else str(each)
+
+    def take(self, workload, strict=False, wait=2.0):
+        path = b"/%d" % (self.reducer.count + 1)
+        query = Query(workload, strict, 0, 7, wait, 0.0, False, b"GET", path, path, b"", b"", b"")
+        self.play(0.1, "taken", f"line {self.reducer.count + 1}", query)
+
+    def end(self, number, shot, cause=Cause.ANSWERED, progress=Progress.WHOLE, status=200, **more):
+        ending = Ending(cause, progress, 0.05, status, body=b"found", **more)
+        self.play(0.05, "shot_ended", number, self.at[number, shot], shot, ending)
+
+
+def test_one_final_answer_whatever_comes_after_it(tmp_path):
+    desk = Desk(tmp_path)
+    desk.play(0.0, "listed", Roll(4, False, (Line("s1", "127.0.0.1:1", "a"),)))
+    desk.take(0)
+    desk.end(1, 0, status=500)
+    desk.end(1, 1)
+    desk.play(0.0, "abandoned", 1)
+    desk.play(2.5, "overdue", 1)
+    desk.take(2)
+    desk.end(2, 0, Cause.BROKEN, Progress.WRITTEN)
+    desk.take(2)
+    desk.play(0.0, "abandoned", 3)
+    desk.end(3, 0)
+    assert not desk.reducer.lookups
+    kept("answers", desk.lines)
+
+
+def test_lookup_whose_form_promises_less_runs_once_at_most(tmp_path):
+    desk = Desk(tmp_path)
+    desk.take(0, strict=True)
+    desk.end(1, 0, Cause.BROKEN, Progress.WRITTEN)
+    desk.take(0, strict=True)
+    desk.end(2, 0, Cause.BROKEN, Progress.PARTLY_WRITTEN)
+    kept("strict", desk.lines)
+
+
+def test_server_list_is_kept_across_restarts_moves_and_whole_lists(tmp_path):
+    desk = Desk(tmp_path, boot=1000.0)
+    desk.play(1.0, "listed", Roll(4, False, (Line("s1", "127.0.0.1:9", "a"),)))
+    desk.play(1.0, "listed", Roll(5, False, (Line("s1", "127.0.0.1:9", "a", started=1101500.0),)))
+    assert desk.reducer.balancer.servers[0].started == pytest.approx(101.5)
+    desk.play(1.0, "listed", Roll(6, True, (Line("s2", "127.0.0.1:2", "a"),)))
+    states = [each.state.value for each in desk.reducer.balancer.servers.values()]
+    assert states == ["gone", "ready"] and desk.reducer.balancer.servers[1].started == 0.0
+    desk.play(1.0, "watch_failed")
+    desk.play(0.0, "watch_stands")
+    assert desk.reducer.balancer.watching
+    kept("list", desk.lines)
+
+
+def test_what_is_owed_at_the_end_is_terminated_in_time(tmp_path):
+    desk = Desk(tmp_path)
+    desk.take(2, wait=6.0)
+    desk.play(0.0, "ending", desk.reducer.now + 3.0)
+    desk.take(0, wait=6.0)
+    desk.play(2.9, "overdue", 1)
+    kept("ending", desk.lines)
+
+
+def test_a_broken_decision_still_gets_its_lookup_answered(tmp_path):
+    desk = Desk(tmp_path)
+    desk.reducer.balancer.pick = None
+    with pytest.raises(TypeError):
+        desk.take(0)
+    desk.play(2.1, "overdue", 1)
+    assert desk.lines[-1].split()[:3] == ["answer", "line", "1"] and not desk.reducer.owes
+
+
+@pytest.mark.parametrize("cause, progress, status, not_processed, outcome", [
+    (Cause.ANSWERED, Progress.WHOLE, 200, False, Outcome.COMPLETED),
+    (Cause.ANSWERED, Progress.WHOLE, 500, False, Outcome.ERROR),
+    (Cause.ANSWERED, Progress.WHOLE, 302, False, Outcome.ERROR),
+    (Cause.ANSWERED, Progress.WHOLE, 503, True, Outcome.FULL),
+    (Cause.ANSWERED, Progress.WHOLE, 504, True, Outcome.FULL),
+    (Cause.ANSWERED, Progress.WHOLE, 503, False, Outcome.ERROR),
+    (Cause.ANSWERED, Progress.WHOLE, 500, True, Outcome.ERROR),
+    (Cause.BROKEN, Progress.NOT_CONNECTED, 0, False, Outcome.NOT_CONNECTED),
+    (Cause.BROKEN, Progress.PARTLY_WRITTEN, 0, False, Outcome.NOT_CONNECTED),
+    (Cause.BROKEN, Progress.WRITTEN, 0, False, Outcome.RESET),
+    (Cause.BROKEN, Progress.HEAD, 0, False, Outcome.RESET),
+    (Cause.TIMED_OUT, Progress.NOT_CONNECTED, 0, False, Outcome.NOT_CONNECTED),
+    (Cause.TIMED_OUT, Progress.PARTLY_WRITTEN, 0, False, Outcome.NOT_CONNECTED),
+    (Cause.TIMED_OUT, Progress.HEAD, 0, False, Outcome.TIMED_OUT),
+    (Cause.GIVEN_UP, Progress.PARTLY_WRITTEN, 0, False, Outcome.NEVER_SENT),
+    (Cause.GIVEN_UP, Progress.WRITTEN, 0, False, Outcome.CANCELLED),
+])
+def test_how_far_a_shot_had_come_tells_what_it_was(cause, progress, status, not_processed, outcome):
+    ending = Ending(cause, progress, 0.1, status, not_processed)
+    assert ending.outcome() is outcome
+    if cause is not Cause.ANSWERED:
+        assert outcome.never_ran == (progress < Progress.WRITTEN)
+
+
+@pytest.mark.parametrize("more, words", [
+    ({"listen": "8080"}, "listen: found '8080', wanted an address"),
+    ({"discovery": None}, "discovery: found None, wanted an address"),
+    ({"peers": ["127.0.0.1:x"]}, "peers: found '127.0.0.1:x'"),
+    ({"seed": "xyz"}, "seed: found 'xyz', wanted a number"),
+    ({"limits": {"sockets": "many"}}, "Expected `int`, got `str` - at `$.limits.sockets`"),
+    ({"limits": {"sockets": 8}}, "limits.sockets: found 8, wanted 64 or more"),
+    ({"settings": None}, "settings: found nothing"),
+    ({"settings": {"workloads": []}}, "settings.workloads: found 0, wanted at least one"),
+    ({"settings": {"workloads": [{"name": "a"}], "az": 3}}, "settings.az: found 3"),
+    ({"settings": {"workloads": [{"name": "a"}, {"name": "a"}]}}, "settings.workloads[1].name: found 'a'"),
+    ({"settings": {"workloads": [{"name": "a", "timeLimitUs": -1}]}}, "settings.workloads[0].timeLimitUs"),
+    ({"known": {"targets": [{"uid": "s", "endpoint": "?"}]}}, "known.targets[].endpoint: found '?'"),
+])
+def test_configuration_faults_name_the_key(tmp_path, more, words):
+    with pytest.raises(configuration.Fault) as fault:
+        station(tmp_path, **more)
+    assert words in str(fault.value)
+
+
+def test_configuration_missing_unread_and_with_unknown_keys(tmp_path):
+    for environment in ({}, {"PROXY_CONFIG": str(tmp_path / "none")}, {"PROXY_CONFIG": __file__}):
+        with pytest.raises(configuration.Fault, match="PROXY_CONFIG: "):
+            configuration.read(environment)
+    assert station(tmp_path, novel={"x": 1}).name == papers()["name"]
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,330 @@
+import json
+import os
+import signal
+import sys
+
+import gevent
+import greenlet
+import pytest
+from gevent import socket, subprocess
+
+from cartdeal.agent.connection import BODY_ROOM
+from cartdeal.agent.front import hashed
+from examples.toy import ListService, Server
+from tests.scene import Deployment, answered, worded
+
+
+@pytest.fixture(autouse=True)
+def bounded():
+    with gevent.Timeout(20):
+        yield
+
+
+@pytest.fixture
+def deploy(tmp_path):
+    made = []
+
+    def make(**more):
+        made.append(Deployment(tmp_path, **more))
+        return made[-1]
+
+    yield make
+    for deployment in made:
+        deployment.stop()
+
+
+def until(true):
+    while not true():
+        gevent.sleep(0.002)
+
+
+@pytest.mark.parametrize("does, status, body, shots", [
+    ("serve", 200, b"s0 ", 1), ("dribble", 200, b"s0 ", 1), ("chunked", 200, b"three", 1),
+    ("interim", 200, b"after all", 1), ("closing", 200, b"bye", 1),
+    # May have run: such a lookup is not shot again, and a turn-back would say that it never ran.
+    ("error", 502, b"", 1), ("odd", 502, b"", 1), ("busy", 502, b"", 1), ("reset", 502, b"", 1),
+    ("end", 502, b"", 1), ("half", 502, b"", 1), ("garbage", 502, b"", 1), ("long", 502, b"", 1),
+    ("silent", 502, b"", 1),
+    # Never ran.
+    ("full", 503, b"", 2), ("over", 503, b"", 2),
+])
+def test_outcomes_of_an_unrepeatable_lookup(deploy, does, status, body, shots):
+    deployment = deploy(servers=2)
+    assert deployment.ask(f"/once/x?do={does}", "POST", X_Timeout="300m") == (status, body)
+    assert len(deployment.seen()) == shots
+
+
+def test_lookup_goes_on_and_its_answer_comes_back_unchanged(deploy):
+    deployment, body = deploy(), bytes(range(256)) * 256
+    path = "/mark/a%20b;c?x=1&do=serve"
+    assert deployment.ask(path, "POST", body[:-3], Idempotency_Key="k1", X_Timeout="1500000u",
+                          X_Request_ID="id-9", Cookie="a=b; sid=7f") == (200, b"s0 " + body[:-3])
+    got = deployment.servers[0].seen[-1]
+    assert (got.method, got.path, got.body) == (b"POST", path.encode(), body[:-3])
+    assert got.headers[b"x-request-id"] == b"id-9" and got.headers[b"idempotency-key"] == b"k1"
+    assert 0 < int(got.headers[b"x-timeout"][:-1]) <= 1500
+    assert hashed(b"7f") == 17540531883517894515
+
+
+def test_bytes_dribbled_and_joined_on_one_connection(deploy):
+    deployment = deploy()
+    connection = deployment.connect()
+    for place in worded("/mark/1", "POST", b"one", Idempotency_Key="k"):
+        connection.sock.sendall(bytes([place]))
+        gevent.sleep(0)
+    assert answered(connection) == (200, b"s0 one")
+    chunked = (b"POST /once/2 HTTP/1.1\r\nX-Request-ID: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+               b"2\r\ntw\r\n1\r\no\r\n0\r\n\r\n")
+    connection.sock.sendall(chunked + worded("/read/3") + worded("/read/4", Connection="close"))
+    assert [answered(connection) for _ in range(4)] == [(200, b"s0 two"), (200, b"s0 "), (200, b"s0 "), None]
+    assert deployment.seen() == ["/mark/1", "/once/2", "/read/3", "/read/4"]
+    assert len(deployment.servers[0].open) == 1     # one connection to the server carried them all
+
+
+def test_kept_connection_that_the_server_closed_is_not_used(deploy):
+    deployment = deploy()
+    assert deployment.ask()[0] == 200
+    for connection in list(deployment.servers[0].open):
+        connection.close()
+    assert deployment.ask("/once/x", "POST") == (200, b"s0 ")
+    assert deployment.seen() == ["/read/x", "/once/x"]
+
+
+@pytest.mark.parametrize("text, status", [
+    (b"what is this\r\n\r\n", 400),
+    (b"GET /read/x HTTP/1.1\r\nno colon\r\n\r\n", 400),
+    (worded("/read/x", X_Request_ID=None), 400),
+    (worded("/read/x", X_Timeout="soon"), 400),
+    (worded("/read/x", X_Timeout="-5m"), 400),
+    (worded("/other/x"), 404),
+    (worded("/read/x", "DELETE"), 405),
+    (worded("/mark/x", "POST", bytes(BODY_ROOM + 1)), 413),
+    (b"POST /mark/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"8000\r\n" + bytes(32768)
+     + b"\r\n8001\r\n" + bytes(32769), 413),
+    (worded("/read/x", Filling="x" * 30000), 431),
+])
+def test_bad_input_reaches_no_server_and_disturbs_no_one(deploy, text, status):
+    deployment = deploy()
+    waiting = deployment.connect()
+    waiting.sock.sendall(worded("/read/x?do=wait"))
+    until(deployment.seen)
+    bad = deployment.connect()
+    bad.sock.sendall(text)
+    assert answered(bad)[0] == status
+    deployment.servers[0].released.set()
+    assert answered(waiting) == (200, b"waited") and len(deployment.seen()) == 1
+
+
+def test_garbage_behind_a_lookup_still_leaves_it_its_answer(deploy):
+    deployment = deploy()
+    connection = deployment.connect()
+    connection.sock.sendall(worded("/read/x") + b"no request\r\n\r\n")
+    assert answered(connection) == (200, b"s0 ") and answered(connection)[0] == 400
+    assert answered(connection) is None
+
+
+def test_half_a_request_that_stalls_is_closed(deploy, monkeypatch):
+    monkeypatch.setattr("cartdeal.agent.front.STALL", 0.02)
+    deployment = deploy()
+    connection = deployment.connect()
+    connection.sock.sendall(b"GET /read/x HT")
+    assert answered(connection) is None and not deployment.agent.front.lines
+
+
+def test_client_that_goes_away_is_noticed_at_once(deploy):
+    deployment = deploy()
+    connection = deployment.connect()
+    connection.sock.sendall(worded("/read/x?do=silent"))
+    until(deployment.seen)
+    assert deployment.agent.reducer.owes == 1
+    connection.close()
+    until(lambda: not deployment.agent.reducer.owes)
+    assert not deployment.agent.reducer.balancer.lookups and not deployment.agent.front.lines
+
+
+def test_shot_given_up_closes_its_connection(deploy):
+    deployment = deploy()
+    connection = deployment.connect()
+    connection.sock.sendall(worded("/once/x?do=silent", "POST"))
+    until(deployment.seen)
+    deployment.agent.shots.cancel(1, 0)
+    assert answered(connection) == (502, b"")
+    until(lambda: not deployment.servers[0].open)
+    # Given up before its greenlet ran, a shot still ends with an event.
+    deployment.agent.reducer.shoot = lambda *args: None
+    deployment.agent.shots.shoot(9, 0, 0, deployment.servers[0].address, None, 0.0)
+    deployment.agent.shots.cancel(9, 0)
+    until(lambda: not deployment.agent.shots.out)
+
+
+def test_server_that_is_not_there(deploy):
+    deployment = deploy()
+    deployment.servers[0].stop()
+    assert deployment.ask("/once/x", "POST", X_Timeout="500m") == (503, b"")
+
+
+def test_watch_split_silent_unreadable_and_refused(deploy, monkeypatch):
+    monkeypatch.setattr("cartdeal.agent.roster.SILENCE", 0.05)
+    monkeypatch.setattr(ListService, "BEAT", 0.01)
+    deployment = deploy()
+    service, reducer = deployment.service, deployment.agent.reducer
+    until(lambda: reducer.balancer.watching)
+    extra = Server("s9")
+    service.tell(extra.line(), split=30)
+    until(lambda: b"s9" in reducer.names)
+    assert reducer.version == 2
+    service.tell(extra.line(state="left"))
+    until(lambda: reducer.version == 3)
+    calls = len(service.calls)
+    for break_it in (lambda: service.write(service.watches[-1], b"{no list\n"),
+                     lambda: service.tell(extra.line(endpoint="nowhere")),
+                     lambda: setattr(service, "BEAT", 1e9)):
+        until(lambda: service.lines.pop("s9", 1) and reducer.balancer.watching)
+        break_it()
+        until(lambda: not reducer.balancer.watching)
+    service.BEAT, service.down = 0.01, True
+    reducer.balancer.watch_at = 0.0
+    deployment.agent.feed("woken", 0)
+    until(lambda: len(service.calls) > calls and not deployment.agent.roster.watching)
+    assert deployment.ask() == (200, b"s0 ")    # the old list is kept
+    extra.stop()
+
+
+def test_watch_with_nothing_new_stands(deploy, monkeypatch):
+    monkeypatch.setattr(ListService, "play", lambda service, connection, message: connection.push(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"))
+    deployment = deploy()
+    until(lambda: deployment.agent.reducer.balancer.watching)
+
+
+def test_whole_list_is_fetched(deploy):
+    deployment = deploy()
+    deployment.agent.reducer.fetch_list()
+    deployment.agent.carry_out()
+    until(lambda: "/registry/instances" in deployment.service.calls)
+
+
+def test_no_descriptors_left(deploy):
+    deployment = deploy()
+    room, idle, busy, late = deployment.agent.room, *(deployment.connect() for _ in "ibl")
+    assert deployment.ask(connection=idle)[0] == 200
+    room.most = room.used + 1                   # three clients, a kept connection, the next client's
+    assert deployment.ask(connection=busy) == (200, b"s0 ")
+    busy.sock.sendall(worded("/once/1?do=wait", "POST"))
+    until(lambda: "/once/1?do=wait" in deployment.seen())
+    another = deployment.connect()
+    assert deployment.ask(connection=another) == (200, b"s0 ")  # in place of the one that stood idle
+    assert answered(idle) is None
+    room.most = 2                               # less than what is in use: nobody else comes in
+    assert deployment.ask("/health/ready", connection=deployment.connect()) == (200, b"")
+    waiting = deployment.connect()
+    waiting.sock.sendall(worded("/once/2", "POST"))
+    assert deployment.ask("/health/ready", connection=late) == (200, b"")
+    assert "/once/2" not in deployment.seen()
+    room.most = 10
+    deployment.servers[0].released.set()
+    assert answered(busy) == (200, b"waited")
+    assert answered(waiting) == (200, b"s0 ")
+
+
+def test_no_room_for_a_shot_turns_back(deploy):
+    deployment = deploy()
+    deployment.agent.room.most = 2
+    assert deployment.ask("/once/x", "POST", X_Timeout="300m") == (503, b"")
+    assert not deployment.seen()
+
+
+def test_words_between_agents(deploy):
+    neighbour, stranger = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in "ns")
+    for each in (neighbour, stranger):
+        each.bind(("127.0.0.1", 0))
+    there = f"127.0.0.1:{neighbour.getsockname()[1]}"
+    deployment = deploy(peer_listen="127.0.0.1:0", peers=[there], peers_all=there)
+    agent, heard = deployment.agent, []
+    agent.reducer.balancer.told = lambda sender, words: heard.append((sender, words))
+    here = agent.words.getsockname()
+    for sender, words in ((stranger, b"no"), (neighbour, bytes(257)), (neighbour, b"yes")):
+        sender.sendto(words, here)
+    until(lambda: heard)
+    assert heard == [(0, b"yes")]
+    for to in (0, -1, 5):
+        agent.tell(to, b"hi %d" % to)
+    assert [neighbour.recv(300) for _ in "ab"] == [b"hi 0", b"hi -1"]
+
+
+def switches(do):
+    """How often another greenlet ran while the reducer or the balancer stood in the middle of an event."""
+    seen = []
+
+    def look(event, ends):
+        frame = ends[0].gr_frame
+        while frame:
+            seen.extend([event] * frame.f_code.co_filename.endswith(("reducer.py", "choice.py")))
+            frame = frame.f_back
+
+    before = greenlet.settrace(look)
+    try:
+        do()
+    finally:
+        greenlet.settrace(before)
+    return len(seen)
+
+
+def test_reducer_never_yields(deploy):
+    deployment = deploy(servers=2)
+    assert switches(lambda: [deployment.ask(f"/read/{place}?do={does}", X_Timeout="100m")
+                             for place, does in enumerate(Server.DOES)]) == 0
+    deployment.agent.reducer.balancer.judge = lambda *args: gevent.sleep(0)
+    assert switches(deployment.ask) > 0
+
+
+def test_greenlet_that_dies_costs_no_more_than_its_shot(deploy, caplog):
+    deployment = deploy()
+    deployment.agent.shots.write = None
+    assert deployment.ask("/once/x", "POST") == (503, b"")
+    del deployment.agent.shots.write
+    assert "shot died" in caplog.text and deployment.ask() == (200, b"s0 ")
+    deployment.agent.front.query = None
+    assert deployment.ask() is None
+    del deployment.agent.front.query
+    assert deployment.ask() == (200, b"s0 ")
+
+
+def start(tmp_path, deployment, **more):
+    file = tmp_path / "agent.json"
+    file.write_text(json.dumps(deployment.papers | more))
+    return subprocess.Popen([sys.executable, "-m", "cartdeal"], stderr=subprocess.PIPE,
+                            env={**os.environ, "PROXY_CONFIG": str(file)})
+
+
+def line_with(agent, words):
+    while words not in (line := agent.stderr.readline()):
+        assert line, "ended before it said so"
+    return line
+
+
+def test_ending_answers_what_is_owed(deploy, tmp_path):
+    deployment = deploy()
+    agent = start(tmp_path, deployment)
+    deployment.agent.front.port = int(line_with(agent, b"msg=serving").split(b"port=")[1].split()[0])
+    assert deployment.ask("/health/ready")[0] == 200
+    waiting, kept = deployment.connect(), deployment.connect()
+    waiting.sock.sendall(worded("/once/1?do=wait", "POST"))
+    until(deployment.seen)
+    agent.send_signal(signal.SIGTERM)
+    line_with(agent, b"msg=ending")
+    assert deployment.ask() == (200, b"s0 ") == deployment.ask(connection=kept)
+    assert answered(kept) is None       # closed between lookups
+    assert agent.poll() is None         # it still owes an answer
+    deployment.servers[0].released.set()
+    assert answered(waiting) == (200, b"waited") and answered(waiting) is None
+    assert agent.wait() == 0
+
+
+@pytest.mark.parametrize("more, status, words", [
+    ({"settings": 5}, 2, b"$.settings"), ({"listen": "192.0.2.1:80"}, 1, b"can't listen on"),
+])
+def test_agent_that_cannot_start_says_why_in_one_line(deploy, tmp_path, more, status, words):
+    agent = start(tmp_path, deploy(), **more)
+    said = agent.stderr.read()
+    assert agent.wait() == status and words in said and said.count(b"\n") == 1
