--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -30,7 +30,6 @@
 WAIT = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)(m|u)")
 UNITS = {b"m": 1e3, b"u": 1e6}
 SESSION = re.compile(rb"(?:^|;)\s*sid=([^;]*)")
-FIGURE = re.compile(rb"(?:^|,)\s*(\w+)=([0-9]{1,12})(?=\s*(?:,|$))")
 
 log = logging.getLogger("cartdeal.front")
 
@@ -67,6 +66,7 @@
         self.grant: Grant = station.grant
         self.feed, self.ready, self.room = feed, ready, room
         self.workloads = {kind.name.encode(): place for place, kind in enumerate(self.grant.workloads)}
+        self.tenants = {each.name.encode(): place for place, each in enumerate(self.grant.tenants)}
         self.lines: set[Line] = set()
         self.ending, self.changed = False, Event()
         room.closers.append(self.close_idle)
@@ -168,14 +168,13 @@
                 raise Malformed(400, "X-Timeout is no number with m or u")
             wait = float(found[1]) / UNITS[found[2]]
         session = SESSION.search(headers.get(b"cookie", b""))
-        figures = {name: int(value) for name, value in FIGURE.findall(headers.get(b"x-attrs", b""))}
+        cost = headers.get(b"x-cost", b"")
         repeat = REPEATS.get(kind.repeat, Repeat.UNREPEATABLE)
         promised = message.method == b"GET" or repeat is Repeat.DEDUPLICATED and bool(mark)
-        tenant = figures.get(b"project", 0)
         return Query(
-            workload, not promised, tenant if tenant < len(self.grant.tenants) else 0,
+            workload, not promised, self.tenants.get(headers.get(b"x-tenant-id"), 0),
             hashed(session[1]) if session else 0, wait - min(MARGIN, wait / 10),
-            figures.get(b"weightHintUs", 0) / 1e6, headers.get(b"x-retried") == b"1", message.method,
+            int(cost) / 1e6 if cost.isdigit() else 0.0, headers.get(b"x-retried") == b"1", message.method,
             message.path, headers[b"x-request-id"], mark, headers.get(b"content-type", b""), message.body)
 
     # Effects
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -50,6 +50,7 @@
     not_processed: bool = False
     kind: bytes = b""       # the body's content type
     body: bytes = b""
+    report: bytes = b""     # what the server says of its load
     words: str = ""
 
     def outcome(self) -> Outcome:
--- a/cartdeal/agent/shots.py
+++ b/cartdeal/agent/shots.py
@@ -89,21 +89,21 @@
         if ending.cause is not Cause.ANSWERED or ending.status != 200:
             log.info("shot ended", extra={"lookup": query.id.decode("latin-1"), "address": address,
                                           "outcome": ending.outcome().value, "words": ending.words})
-        self.feed("shot_ended", lookup, server, number, ending)
+        self.feed("shot_ended", lookup, server, number, ending, self.load(ending.report))
 
     def run_probe(self, server, address):
         shot = Shot()
         until = shot.sent + PROBE * self.connect_limit
         text = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (self.probe_path, address.encode())
         ending = self.exchange(shot, address, until, lambda: text)
-        self.feed("probe_ended", server, ending, self.load(ending))
+        self.feed("probe_ended", server, ending, self.load(ending.body))
 
-    def load(self, ending: Ending) -> Load | None:
-        if self.reports.how == "none" or ending.status != 200:
+    def load(self, report: bytes) -> Load | None:
+        if self.reports.how == "none" or not report:
             return None
         try:
-            said = msgspec.json.decode(ending.body, type=dict[str, float])
-        except msgspec.MsgspecError:
+            said = msgspec.json.decode(report, type=dict[str, float])
+        except (msgspec.MsgspecError, UnicodeError):
             return None
         return Load(said.get("outstanding"), said.get("throughput"))
 
@@ -121,7 +121,8 @@
             shot.progress = Progress.WHOLE
             return Ending(Cause.ANSWERED, shot.progress, monotonic() - shot.sent, answer.status,
                           answer.headers.get(b"x-not-processed") == b"1",
-                          answer.headers.get(b"content-type", b""), answer.body, f"status {answer.status}")
+                          answer.headers.get(b"content-type", b""), answer.body,
+                          answer.headers.get(b"x-server-load", b""), f"status {answer.status}")
         except gevent.GreenletExit:
             return shot.end(Cause.GIVEN_UP)
         except (TimeoutError, BlockingIOError):
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -77,6 +77,8 @@
     def play(self, connection: Connection, message):
         path, _, query = message.path.partition(b"?")
         does = parse_qs(query.decode()).get("do", ["serve"])[0]
+        if path in (b"/health/live", b"/stats"):
+            return connection.push(answer(200, b'{"outstanding": %d, "throughput": 2.5}' % len(self.seen)))
         self.seen.append(message)
         said = self.DOES.get(does, answer(200, self.name.encode() + b" " + message.body))
         if does == "wait":
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,8 +10,9 @@
 
 from cartdeal.agent.connection import BODY_ROOM
 from cartdeal.agent.front import hashed
-from examples.toy import ListService, Server
-from tests.scene import Deployment, answered, worded
+from cartdeal.terms import Load, Outcome
+from examples.toy import ListService, Server, answer
+from tests.scene import GRANT, Deployment, answered, worded
 
 
 @pytest.fixture(autouse=True)
@@ -66,6 +67,23 @@
     assert hashed(b"7f") == 17540531883517894515
 
 
+def test_what_a_lookup_and_a_server_tell_of_themselves(deploy, monkeypatch):
+    more = {"tenants": [{"name": "x"}, {"name": "y"}], "feedback": {"how": "answers"}}
+    monkeypatch.setitem(Server.DOES, "load", answer(200, b"", b'X-Server-Load: {"outstanding": 7}\r\n'))
+    deployment, told = deploy(settings=GRANT | more), []
+    balancer = deployment.agent.reducer.balancer
+    for event in ("taken", "shot_ended", "probe_ended"):
+        handle = getattr(balancer, event)
+        setattr(balancer, event, lambda *args, handle=handle: (told.append(args), handle(*args)))
+    deployment.ask("/read/x?do=load", X_Tenant_Id="y", X_Cost="1500", X_Retried="1")
+    deployment.agent.shots.probe(0, deployment.servers[0].address)
+    until(lambda: len(told) > 2)
+    (_, _, tenant, _, _, cost, repeat), shot, probe = told
+    assert (tenant, cost, repeat) == (1, 0.0015, True)
+    assert shot[-1] == Load(7.0, None) and probe[1] is Outcome.COMPLETED and probe[-1] == Load(1.0, 2.5)
+    assert [deployment.agent.shots.load(each) for each in (b"\xff", b"{\"throughput\": []}")] == [None, None]
+
+
 def test_bytes_dribbled_and_joined_on_one_connection(deploy):
     deployment = deploy()
     connection = deployment.connect()
