--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -13,6 +13,7 @@
 from logfmter import Logfmter
 
 from cartdeal.agent import configuration
+from cartdeal.agent.connection import Unbound
 from cartdeal.agent.effects import Effects
 
 STILL_OPEN = 0.6    # after being told to end, how long connections are taken and kept
@@ -33,8 +34,8 @@
         return 2
     try:
         agent = Effects(station)
-    except OSError as trouble:
-        print(f"cartdeal: can't listen on {station.listen}: {trouble.strerror}", file=sys.stderr)
+    except Unbound as trouble:
+        print(f"cartdeal: {trouble}", file=sys.stderr)
         return 1
     told_to_end = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -34,6 +34,21 @@
         self.status = status
 
 
+class Unbound(Exception):
+    """An address of the agent's own can't be had."""
+
+
+def bound(kind: int, address: tuple[str, int]):
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(address)
+    except OSError as trouble:
+        sock.close()
+        raise Unbound(f"can't listen on {address[0]}:{address[1]}: {trouble.strerror}") from None
+    return sock
+
+
 class Room:
     """How many connections there may be. Where there is none left, idle ones are closed to make some.
 
@@ -69,7 +84,9 @@
         self.message = Message()
         self.whole = []             # messages that have come whole and were not taken yet
         self.wrong = None
-        self.rest = None            # the greenlet that writes what the socket did not take at once
+        self.unsent = b""           # what the socket did not take at once
+        self.rest = None            # the greenlet that writes it
+        self.last = False           # whether to close once all is written
         self.closed = False
         self.since = 0.0            # when it became idle, for its owner
 
@@ -164,26 +181,31 @@
     # Writing
 
     def push(self, data: bytes, last: bool = False):
-        """Writes at once what the socket takes; the rest goes out in a greenlet of its own."""
-        try:
-            sent = os.write(self.sock.fileno(), data)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            return self.close()
-        if sent < len(data):
-            self.rest = gevent.spawn(self.push_rest, data[sent:], last)
-        elif last:
+        """Writes at once what the socket takes; the rest goes out in a greenlet of its own, in order."""
+        self.last |= last
+        if not self.rest:
+            try:
+                data = data[os.write(self.sock.fileno(), data):]
+            except BlockingIOError:
+                pass
+            except OSError:
+                return self.close()
+        self.unsent += data
+        if self.unsent and not self.rest:
+            self.rest = gevent.spawn(self.push_rest)
+        elif self.last and not self.unsent:
             self.close()
 
-    def push_rest(self, data: bytes, last: bool):
+    def push_rest(self):
         try:
-            self.sock.settimeout(STALLED)
-            self.sock.sendall(data)
+            while self.unsent:
+                data, self.unsent = self.unsent, b""
+                self.sock.settimeout(STALLED)
+                self.sock.sendall(data)
         except OSError:
-            last = True
+            self.last = True
         self.rest = None
-        if last:
+        if self.last:
             self.close()
 
     def stale(self) -> bool:
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -12,7 +12,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import BODY_ROOM, HEAD_ROOM, Room
+from cartdeal.agent.connection import BODY_ROOM, HEAD_ROOM, Room, bound
 from cartdeal.agent.front import Front
 from cartdeal.agent.reducer import Reducer
 from cartdeal.agent.roster import Roster
@@ -20,7 +20,7 @@
 
 LONGEST_WORDS = 256
 RESERVED = 32       # descriptors for the list service, the agents, the log and the loop itself
-OWN_MEMORY = 48.0   # megabytes that the agent holds before its first connection, with room to spare
+OWN_MEMORY = 32.0   # megabytes that the agent holds before its first connection, with room to spare
 PER_CONNECTION = 2 * (HEAD_ROOM + BODY_ROOM) / 1e6    # its buffer and the body it brought, at their longest
 
 log = logging.getLogger("cartdeal.agent")
@@ -105,9 +105,7 @@
     def open_words(self):
         if not self.station.tell_listen or not self.station.grant.leave.may_tell:
             return None
-        words = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        words.bind(self.station.tell_listen)
-        return words
+        return bound(socket.SOCK_DGRAM, self.station.tell_listen)
 
     def hear(self):
         senders = {address: place for place, address in enumerate(self.station.neighbours)}
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -13,7 +13,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, Malformed, Room
+from cartdeal.agent.connection import Connection, Malformed, Room, bound
 from cartdeal.agent.reducer import Query
 from cartdeal.grant import REPEATS, Grant
 from cartdeal.terms import Repeat
@@ -40,7 +40,8 @@
     def __init__(self, sock, on_close):
         super().__init__(sock, answers=False, on_close=on_close)
         self.lookup, self.waits, self.keep, self.asked = 0, False, True, False
-        self.refused = None     # what came that ends the connection once all before it is answered
+        self.refused = None     # what came that ends the connection once all before it is answered ...
+        self.lingers = False    # ... and whether that is under way
         self.since = monotonic()
 
     def on_message_begin(self):
@@ -70,9 +71,7 @@
         self.lines: set[Line] = set()
         self.ending, self.changed = False, Event()
         room.closers.append(self.close_idle)
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(station.listen)
+        self.listener = bound(socket.SOCK_STREAM, station.listen)
         self.listener.listen(512)
         self.port = self.listener.getsockname()[1]
 
@@ -148,7 +147,8 @@
                 continue
             line.waits = True
             self.feed("taken", line, query)
-        if line.refused and not line.waits and not line.closed:
+        if line.refused and not (line.waits or line.closed or line.lingers):
+            line.lingers = True
             gevent.spawn(self.refuse, line)
 
     def query(self, message, path: bytes) -> Query:
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -129,8 +129,7 @@
         self.asked.append(("begun", asker, number))
         self.asked.append(("remind", number, limit_at + OVERDUE))
         workload = query.workload + query.strict * len(self.station.grant.workloads)
-        self.balancer.taken(number, workload, query.tenant, query.key, limit_at, query.cost,
-                            query.repeat)
+        self.balancer.taken(number, workload, query.tenant, query.key, limit_at, query.cost, query.repeat)
 
     def abandoned(self, number: int):
         owed = self.lookups.get(number)
--- a/cartdeal/agent/shots.py
+++ b/cartdeal/agent/shots.py
@@ -89,6 +89,8 @@
         if ending.cause is not Cause.ANSWERED or ending.status != 200:
             log.info("shot ended", extra={"lookup": query.id.decode("latin-1"), "address": address,
                                           "outcome": ending.outcome().value, "words": ending.words})
+        if ending.cause is Cause.BROKEN:
+            self.close_idle(address)    # they ended with it, or will: a shot on one may never be repeated
         self.feed("shot_ended", lookup, server, number, ending, self.load(ending.report))
 
     def run_probe(self, server, address):
@@ -96,6 +98,8 @@
         until = shot.sent + PROBE * self.connect_limit
         text = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (self.probe_path, address.encode())
         ending = self.exchange(shot, address, until, lambda: text)
+        if ending.cause is not Cause.ANSWERED:
+            self.close_idle(address)    # those to a silent machine stay silent, or break
         self.feed("probe_ended", server, ending, self.load(ending.body))
 
     def load(self, report: bytes) -> Load | None:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -2,8 +2,8 @@
 
     python examples/toy.py --servers 3 --list-port 8500
 
-A lookup's query says what its server does with it: `?do=error`, `full`, `busy`, `reset`, `half`, `silent` and so
-on, see Server.DOES. Without one it answers 200 with its own name and the lookup's body.
+A lookup's query says what its server does with it: `?do=error`, `full`, `busy`, `reset`, `half`, `silent` and
+so on, see Server.DOES. Without one it answers 200 with its own name and the lookup's body.
 """
 
 import argparse
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,13 +2,14 @@
 import os
 import signal
 import sys
+import time
 
 import gevent
 import greenlet
 import pytest
 from gevent import socket, subprocess
 
-from cartdeal.agent.connection import BODY_ROOM
+from cartdeal.agent.connection import BODY_ROOM, Connection
 from cartdeal.agent.front import hashed
 from cartdeal.terms import Load, Outcome
 from examples.toy import ListService, Server, answer
@@ -99,6 +100,17 @@
     assert len(deployment.servers[0].open) == 1     # one connection to the server carried them all
 
 
+def test_answers_that_the_client_is_slow_to_read_stay_whole_and_in_order(deploy):
+    deployment, body = deploy(), bytes(65000)
+    connection = deployment.connect()
+    for place in range(12):
+        connection.sock.sendall(worded(f"/mark/{place}", "POST", body + b"%02d" % place, Idempotency_Key="k"))
+    connection.sock.sendall(worded("/read/last", Connection="close"))
+    until(lambda: len(deployment.seen()) == 13)
+    assert [answered(connection)[1][-2:] for _ in range(12)] == [b"%02d" % place for place in range(12)]
+    assert answered(connection) == (200, b"s0 ") and answered(connection) is None
+
+
 def test_kept_connection_that_the_server_closed_is_not_used(deploy):
     deployment = deploy()
     assert deployment.ask()[0] == 200
@@ -149,6 +161,29 @@
     assert answered(connection) is None and not deployment.agent.front.lines
 
 
+def test_bytes_that_came_in_time_beat_a_timer_that_is_told_first():
+    ours, theirs = socket.socketpair()
+    connection = Connection(ours, answers=True)
+    gevent.spawn(lambda: (theirs.send(answer(200)), time.sleep(0.06)))  # the whole agent runs late
+    assert connection.receive(0.03) and connection.whole
+    with pytest.raises(TimeoutError):
+        connection.receive(0.001)
+
+
+def test_timers_are_handled_in_order_and_never_early(deploy):
+    agent, woken, now = deploy().agent, [], time.monotonic()
+    agent.reducer.balancer.woken = lambda token: woken.append((token, agent.reducer.now >= now + token / 1e3))
+    for token in (9, 1, 5):
+        agent.wake(token, now + token / 1e3)
+    time.sleep(0.02)
+    agent.feed("watch_stands")
+    assert woken == [(1, True), (5, True), (9, True)]
+    now = time.monotonic()
+    agent.wake(3, now + 0.003)
+    until(lambda: len(woken) > 3)
+    assert woken[3:] == [(3, True)]
+
+
 def test_client_that_goes_away_is_noticed_at_once(deploy):
     deployment = deploy()
     connection = deployment.connect()
