--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -17,6 +17,7 @@
 from cartdeal.agent.effects import Effects
 
 STILL_OPEN = 0.6    # after being told to end, how long connections are taken and kept
+LAST_ONES = 0.3     # and for how long after that a connection may still bring a lookup
 ENDS = 3.4          # after being told to end, when all is answered: one that is killed loses what it owes
 
 log = logging.getLogger("cartdeal.agent")
@@ -48,7 +49,7 @@
     log.info("ending", extra={"owed": agent.reducer.owes})
     agent.feed("ending", end_at)
     gevent.sleep(STILL_OPEN)
-    agent.front.end()
+    agent.front.end(LAST_ONES)
     while agent.front.lines and monotonic() < end_at:
         agent.front.changed.clear()
         agent.front.changed.wait(max(0.0, end_at - monotonic()))
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -210,9 +210,11 @@
             idle.close()
         return bool(idle)
 
-    def end(self):
+    def end(self, pause: float):
+        """Closes the door; who asks again is answered with a close, who does not is closed after a pause."""
         self.ending = True
         self.listener.close()
+        gevent.sleep(pause)     # to close at once would cross what busy clients have just sent
         for line in [each for each in self.lines if each.between()]:
             line.close()
 
