--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -247,11 +247,11 @@
         return best or spare
 
     def must_ask(self, server, now):
-        # A quiet agent learns of full servers too late from outcomes: in trouble, or new, it asks first.
+        # Among many agents a quiet one learns of full servers too late: in trouble, or new, it asks first.
         ended, bad = self.ends[0]
         trouble = bad.read(now) + 0.05 > TROUBLE * ended.read(now) or self.strain.read(now) > 0.1
         few = self.arrivals.read(now) < (1 + self.reports) * THIN * len(self.zones[server.zone])
-        asks = trouble and few and self.charter.may_probe
+        asks = trouble and few and self.charter.may_probe and self.charter.agents > len(self.servers)
         return asks and server.closed and now > server.said_at + GLANCE
 
     def ask(self, lookup, server, now):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -115,7 +115,7 @@
 
 
 def test_quiet_agent_asks_first_and_a_tardy_server_yields():
-    scene = Scene("a0 c1")
+    scene = Scene("a0 c1", agents=3)
     scene.serve(range(1, 6))
     scene.prompt = False
     scene.wait(30)
@@ -132,7 +132,7 @@
 
 
 def test_no_blind_shot_at_the_end_of_a_hold_where_servers_report():
-    scene = Scene("a0 b0 c1", crossing_fee=9.0)
+    scene = Scene("a0 b0 c1", crossing_fee=9.0, agents=4)
     scene.prompt = False
     scene.take(1)
     asked = scene.balancer.lookups[1].asked[0].index
@@ -142,7 +142,7 @@
 
 
 def test_server_that_said_it_is_full_is_asked_once_a_lookup():
-    scene = Scene("a0 b0 e0 f0", crossing_fee=9.0)
+    scene = Scene("a0 b0 e0 f0", crossing_fee=9.0, agents=5)
     scene.prompt = False
     scene.take(1)
     for server in scene.balancer.lookups[1].asked:
@@ -151,6 +151,13 @@
     assert len([line for line in scene.lines if "probe" in line]) == 1
 
 
+def test_few_agents_know_the_servers_from_their_own_lookups():
+    scene = Scene("a0 b0", agents=2)
+    scene.prompt = False
+    scene.take(1)
+    assert 1 in scene.shots and not scene.asked
+
+
 def test_report_without_what_was_served_is_passed_over():
     scene = Scene("a0")
     scene.prompt = False
