--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -535,7 +535,7 @@
                 self.hold(lookup, now)
 
     def patience(self, server, now):
-        usual = self.pace.read(now) / max(self.paced.read(now), 0.1)
+        usual = max(server.pace, self.pace.read(now) / max(self.paced.read(now), 0.1))  # slow is not silent
         return max(0.25, usual * (4.0 if len(server.out) < 3 else 2.5)) if usual else inf
 
     def listen_for(self, server, now):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -256,3 +256,18 @@
     scene.serve(range(1, 8), took=0.7)
     assert scene.balancer.servers[ord("a")].limit < 1.0
     scene.kept("pauses")
+
+
+def test_slow_server_is_not_taken_for_a_silent_one():
+    scene, keys = Scene("a0 b0"), {}
+    for lookup in range(1, 9):
+        keys[scene.take(lookup)] = lookup
+        scene.end(lookup)
+    for lookup in range(9, 50):
+        name = "b" if lookup % 10 == 9 else "a"
+        scene.take(lookup, key=keys[name])
+        scene.wait(0.4 if name == "b" else 0.03)
+        scene.end(lookup)
+    assert scene.take(50, key=keys["b"]) == "b"
+    scene.wait(0.5)
+    assert scene.balancer.servers[ord("b")].closed
