--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -37,8 +37,8 @@
 class Fading:
     """A sum whose parts fade away over time."""
 
-    def __init__(self, span, now):
-        self.amount, self.at, self.span = 0.0, now, span
+    def __init__(self, span, now, amount=0.0):
+        self.amount, self.at, self.span = amount, now, span
 
     def read(self, now):
         if now > self.at:
@@ -63,8 +63,7 @@
 
 class Server:
     def __init__(self, index, limit, now):
-        self.index, self.first_limit = index, limit
-        self.state, self.started = State.GONE, 0.0
+        self.index, self.first_limit, self.state, self.started = index, limit, State.GONE, 0.0
         self.out = {}       # own shots in flight there: (lookup, shot) -> when sent
         self.sends = Fading(MEMORY, now)
         self.askers, self.asked_at = {}, -inf    # lookups that wait for the answer to a probe
@@ -92,12 +91,13 @@
         others = [zone for zone in range(charter.zones) if zone != charter.own_zone]
         others.sort(key=lambda zone: (mixed(crc32(b"%d/%d" % (charter.number, zone))), zone))
         self.order = [charter.own_zone, *others]
-        self.standing = 0   # place in the order of the zone that lookups go to
-        self.failback_at = now + FAILBACK
+        self.standing, self.failback_at = 0, now + FAILBACK  # standing: place in the order of zones
         self.like_rate = {}  # last known sends a second for each unit of weight to a warm server of a zone
         self.arrivals, self.importance, self.costs = (Fading(MEMORY, now) for _ in range(3))
         self.tenants = {}
-        self.pace, self.paced = Fading(MEMORY, now), Fading(MEMORY, now)
+        # Judged by first quick answers alone, a zone that is only slow at the start seems silent and fails.
+        late = LATE * max((kind.goal_time for kind in charter.workloads), default=1.0)
+        self.pace, self.paced = Fading(MEMORY, now, late), Fading(MEMORY, now, 1.0)
         self.answer, self.answered = Fading(MEMORY, now), Fading(MEMORY, now)  # time to answers of probes
         self.strain = Fading(1.0, now)  # lookups that found no room lately
         self.met, self.missed = Fading(2.0, now), Fading(2.0, now)  # held lookups, by whether room came
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -271,3 +271,13 @@
     assert scene.take(50, key=keys["b"]) == "b"
     scene.wait(0.5)
     assert scene.balancer.servers[ord("b")].closed
+
+
+def test_first_quick_answer_makes_no_one_silent():
+    scene = Scene("a0 b0 e0")
+    first = next(n for n in range(1, 30) if scene.take(n) == "a")
+    scene.wait(0.02)
+    scene.end(first)
+    scene.take(30)
+    scene.wait(0.45)
+    assert all(server.closed for server in scene.balancer.servers.values())
