--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -19,7 +19,7 @@
 DOUBT = 2.0           # failures (fading) that may open a circuit ...
 FAILING = 0.3         # ... if they are at least this share of what ended
 SHARED_LIMIT = 8.0    # in flight at a server nothing is known of, from all agents
-LEAST = 0.25          # a limit under one means pauses between single shots
+HALF, LEAST = 0.5, 0.25  # limits under one mean pauses between single shots
 CUT = 0.75            # what a limit keeps of itself when it is cut
 CALM, LATE, TOO_LATE = 0.15, 0.25, 0.6  # of the goal time: a limit grows, is cut, falls under one
 YIELD = 1.5           # times the mean in flight at which a server yields
@@ -304,8 +304,7 @@
     def like(self, zone, now):
         warm = [s for s in self.zones[zone] if s.closed and now - s.started >= self.charter.cold_for]
         if warm:
-            sent = sum(s.sends.read(now) for s in warm) / MEMORY
-            self.like_rate[zone] = sent / sum(s.weight for s in warm)
+            self.like_rate[zone] = sum(s.sends.read(now) for s in warm) / MEMORY / sum(s.weight for s in warm)
         elif zone not in self.like_rate:
             everywhere = sum(s.weight for members in self.zones for s in members)
             return self.arrivals.read(now) / MEMORY / everywhere
@@ -437,7 +436,8 @@
 
     def cut(self, server, now, least=1.0):
         if now >= server.cut_at:
-            server.limit = max(min(server.limit, least), server.limit * CUT)
+            # One shot from each of many agents keeps a late server late: they go under one before it jams.
+            server.limit = max(min(server.limit, least, max(HALF, server.first_limit)), server.limit * CUT)
             server.cut_at = now + max(0.1, server.pace)
 
     def open(self, server, now):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,5 +1,7 @@
 from types import SimpleNamespace
 
+import pytest
+
 from cartdeal.terms import Load, Outcome, State
 from tests.scene import Scene
 
@@ -281,3 +283,14 @@
     scene.take(30)
     scene.wait(0.45)
     assert all(server.closed for server in scene.balancer.servers.values())
+
+
+@pytest.mark.parametrize("agents, least", [(2, 1.0), (20, 0.5)])
+def test_late_answers_leave_many_agents_less_than_a_shot_each(agents, least):
+    scene = Scene("a0", agents=agents, may_probe=False)
+    for lookup, took in enumerate([0.01] * 9 + [0.4] * 9):
+        scene.take(lookup)
+        scene.wait(took)
+        scene.end(lookup)
+        scene.wait(2.0)
+    assert scene.balancer.servers[ord("a")].limit == least
