--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -92,9 +92,8 @@
         others.sort(key=lambda zone: (mixed(crc32(b"%d/%d" % (charter.number, zone))), zone))
         self.order = [charter.own_zone, *others]
         self.standing, self.failback_at = 0, now + FAILBACK  # standing: place in the order of zones
-        self.like_rate = {}  # last known sends a second for each unit of weight to a warm server of a zone
         self.arrivals, self.importance, self.costs = (Fading(MEMORY, now) for _ in range(3))
-        self.tenants = {}
+        self.tenants, self.like_rate = {}, {}  # by zone: last known sends a second to a warm one, by weight
         # Judged by first quick answers alone, a zone that is only slow at the start seems silent and fails.
         late = LATE * max((kind.goal_time for kind in charter.workloads), default=1.0)
         self.pace, self.paced = Fading(MEMORY, now, late), Fading(MEMORY, now, 1.0)
@@ -104,8 +103,7 @@
         self.loss = self.spill = 0.0    # shares: of lookups missed at home, of the keys that cross
         self.ends = [[Fading(MEMORY, now), Fading(MEMORY, now)] for _ in "ha"]  # all, bad: at home, away
         self.watching, self.reports = not charter.must_ask, False
-        self.watch_at, self.watch_backoff = now, 0.5
-        self.alarm_at = inf
+        self.watch_at, self.watch_backoff, self.alarm_at = now, 0.5, inf
         self.keep_watch(now)
 
     def chance(self):
@@ -437,7 +435,9 @@
     def cut(self, server, now, least=1.0):
         if now >= server.cut_at:
             # One shot from each of many agents keeps a late server late: they go under one before it jams.
-            server.limit = max(min(server.limit, least, max(HALF, server.first_limit)), server.limit * CUT)
+            few = self.charter.agents <= len(self.servers)  # more of them ask before they shoot
+            least = min(least, max(HALF, server.first_limit)) if few else least
+            server.limit = max(min(server.limit, least), server.limit * CUT)
             server.cut_at = now + max(0.1, server.pace)
 
     def open(self, server, now):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -287,7 +287,7 @@
 
 @pytest.mark.parametrize("agents, least", [(2, 1.0), (20, 0.5)])
 def test_late_answers_leave_many_agents_less_than_a_shot_each(agents, least):
-    scene = Scene("a0", agents=agents, may_probe=False)
+    scene = Scene("a0 " + " ".join(f"{chr(98 + n)}1" for n in range(20)), agents=agents, may_probe=False)
     for lookup, took in enumerate([0.01] * 9 + [0.4] * 9):
         scene.take(lookup)
         scene.wait(took)
