--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -18,7 +18,8 @@
 
 STILL_OPEN = 0.6    # after being told to end, how long connections are taken and kept
 LAST_ONES = 0.3     # and for how long after that a connection may still bring a lookup
-ENDS = 3.4          # after being told to end, when all is answered: one that is killed loses what it owes
+ENDS = 3.4          # after being told to end, when it does: one that is killed loses what it owes
+GOODBYE = 0.1       # before that, when all that is still owed is terminated
 
 log = logging.getLogger("cartdeal.agent")
 
@@ -47,7 +48,7 @@
     told_to_end.wait()
     end_at = monotonic() + ENDS
     log.info("ending", extra={"owed": agent.reducer.owes})
-    agent.feed("ending", end_at)
+    agent.feed("ending", end_at - GOODBYE)
     gevent.sleep(STILL_OPEN)
     agent.front.end(LAST_ONES)
     while agent.front.lines and monotonic() < end_at:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -381,3 +381,15 @@
     agent = start(tmp_path, deploy(), **more)
     said = agent.stderr.read()
     assert agent.wait() == status and words in said and said.count(b"\n") == 1
+
+
+def test_what_is_still_out_at_the_end_is_terminated_before_a_kill_can_come(deploy, tmp_path):
+    deployment = deploy()
+    agent = start(tmp_path, deployment)
+    deployment.agent.front.port = int(line_with(agent, b"msg=serving").split(b"port=")[1].split()[0])
+    connection = deployment.connect()
+    connection.sock.sendall(worded("/once/1?do=silent", "POST", X_Timeout="9000m"))
+    until(deployment.seen)
+    agent.send_signal(signal.SIGTERM)
+    assert answered(connection) == (502, b"") and answered(connection) is None
+    assert agent.wait() == 0
