--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -20,6 +20,7 @@
 
 LONGEST_WORDS = 256
 RESERVED = 32       # descriptors for the list service, the agents, the log and the loop itself
+AGAIN = 0.05        # pause before what died of a fault begins again
 OWN_MEMORY = 32.0   # megabytes that the agent holds before its first connection, with room to spare
 PER_CONNECTION = 2 * (HEAD_ROOM + BODY_ROOM) / 1e6    # its buffer and the body it brought, at their longest
 
@@ -49,7 +50,16 @@
     def start(self):
         self.carry_out()
         works = [self.keep_time, self.shots.sweep, self.front.accept] + [self.hear] * bool(self.words)
-        self.works = [gevent.spawn(work) for work in works]
+        self.works = [gevent.spawn(self.endure, work) for work in works]
+
+    def endure(self, work):
+        """What runs as long as the agent does: an agent that is deaf since a fault would look alive."""
+        while True:
+            try:
+                return work()
+            except Exception:
+                log.exception("work died", extra={"work": work.__name__})
+                gevent.sleep(AGAIN)
 
     def feed(self, event: str, *args):
         """One event into the reducer, after the timers that were due before it."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -343,6 +343,15 @@
     assert deployment.ask() == (200, b"s0 ")
 
 
+def test_door_outlives_a_fault(deploy, caplog):
+    deployment = deploy()
+    with pytest.MonkeyPatch.context() as broken:
+        broken.setattr("cartdeal.agent.front.Line", None)
+        deployment.connect()
+        until(lambda: "work died" in caplog.text)
+    assert deployment.ask() == (200, b"s0 ")
+
+
 def start(tmp_path, deployment, **more):
     file = tmp_path / "agent.json"
     file.write_text(json.dumps(deployment.papers | more))
