--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -25,6 +25,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it serves; by default it would end the agent
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(Logfmter(keys=["at", "level", "in"],
                                   mapping={"at": "asctime", "level": "levelname", "in": "name"}))
@@ -40,6 +41,7 @@
         print(f"cartdeal: {trouble}", file=sys.stderr)
         return 1
     told_to_end = Event()
+    gevent.signal_handler(signal.SIGHUP, lambda: told_to_end.is_set() or agent.reread())
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, told_to_end.set)
     agent.start()
--- a/cartdeal/agent/configuration.py
+++ b/cartdeal/agent/configuration.py
@@ -1,4 +1,4 @@
-"""Reads what the agent is told at its start, checks it and fills in defaults.
+"""Reads what the agent is told, at its start and on SIGHUP, checks it and fills in defaults.
 
 The one place that looks at the environment and the configuration file, and the one that knows their names. It
 must never guess around a wrong value: a fault names its key, what was found and what is wanted.
@@ -13,6 +13,7 @@
 from cartdeal.grant import Grant
 
 Address = tuple[str, int]
+TAKEN_OVER = ("list_service", "seed", "known")    # on SIGHUP; the last two matter at a start only
 
 
 class Fault(Exception):
@@ -109,6 +110,12 @@
             raise Fault(f"{key}: found {found!r}, wanted {wanted}")
 
 
+def needs_restart(old: Station, new: Station) -> list[str]:
+    """The keys that differ and that a running agent can't take over."""
+    return [key.encode_name for key in msgspec.structs.fields(Papers)
+            if key.name not in TAKEN_OVER and getattr(old, key.name) != getattr(new, key.name)]
+
+
 def read(environment=os.environ) -> Station:
     path = environment.get("PROXY_CONFIG")
     if not path:
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -11,7 +11,9 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
+from msgspec.structs import replace
 
+from cartdeal.agent import configuration
 from cartdeal.agent.connection import BODY_ROOM, HEAD_ROOM, Room, bound
 from cartdeal.agent.front import Front
 from cartdeal.agent.reducer import Reducer
@@ -52,6 +54,20 @@
         works = [self.keep_time, self.shots.sweep, self.front.accept] + [self.hear] * bool(self.words)
         self.works = [gevent.spawn(self.endure, work) for work in works]
 
+    def reread(self):
+        """Takes over what a new configuration changes; one that can't be used changes nothing."""
+        try:
+            station = configuration.read()
+        except configuration.Fault as fault:
+            return log.error("configuration refused", extra={"words": str(fault)})
+        log.info("configuration read", extra={
+            "list_service": "{}:{}".format(*station.list_service),
+            "needs_restart": " ".join(configuration.needs_restart(self.station, station))})
+        if station.list_service != self.station.list_service:
+            self.station = replace(self.station, list_service=station.list_service)
+            self.roster.move(station.list_service)
+            self.feed("list_moved")
+
     def endure(self, work):
         """What runs as long as the agent does: an agent that is deaf since a fault would look alive."""
         while True:
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -186,6 +186,10 @@
     def watch_failed(self):
         self.balancer.watch_failed()
 
+    def list_moved(self):
+        """The list service has another address."""
+        self.balancer.list_moved()
+
     def told(self, sender: int, words: bytes):
         self.balancer.told(sender, words)
 
--- a/cartdeal/agent/roster.py
+++ b/cartdeal/agent/roster.py
@@ -28,6 +28,13 @@
     def __init__(self, station, feed, version):
         self.address, self.feed, self.version = station.list_service, feed, version     # version: a call
         self.watching = None
+        self.former = None      # the watch at the address before, until the one at the new address stands
+        self.anew = False       # whether the next watch is the first at its address
+
+    def move(self, address):
+        if self.former:
+            self.former.kill(block=False)
+        self.address, self.former, self.watching, self.anew = address, self.watching, None, True
 
     # Effects
 
@@ -47,17 +54,21 @@
         try:
             self.follow()
         except gevent.GreenletExit:
-            self.watching = None
-            return
+            words = ""
         except TimeoutError:
             words = "silent"
         except UNUSABLE as trouble:
             words = str(trouble)
         except Exception:
             log.exception("watch died")
-        self.watching = None
-        log.warning("watch failed", extra={"words": words})
-        self.feed("watch_failed")
+        watch = gevent.getcurrent()
+        if self.former is watch:
+            self.former = None      # its service was left: no failure of the one in its place
+        elif self.watching is watch:
+            self.watching = None
+            if words:
+                log.warning("watch failed", extra={"words": words})
+                self.feed("watch_failed")
 
     def run_fetch(self):
         connection = None
@@ -78,13 +89,16 @@
                 connection.close()
 
     def follow(self):
-        connection = self.call(f"{PATH}?watch=1&after={self.version()}")
+        # Another service may number its lists otherwise: the first call there asks for all there is.
+        connection = self.call(f"{PATH}?watch=1&after={0 if self.anew else self.version()}")
         try:
             wait = ANSWER
             while connection.receive(wait):
                 if connection.message.status and connection.message.status != 200:
                     raise Malformed(400, f"status {connection.message.status}")
                 for text in connection.lines():
+                    if self.watching is gevent.getcurrent():
+                        self.stands()
                     if text.strip():
                         self.feed("listed", roll(text))
                     elif wait == ANSWER:
@@ -95,6 +109,11 @@
         finally:
             connection.close()
 
+    def stands(self):
+        self.anew = False
+        if self.former:
+            self.former.kill(block=False)
+
     def call(self, path: str) -> Connection:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         connection = Connection(sock, answers=True, body_room=LIST_ROOM)
--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -54,8 +54,7 @@
     def __init__(self, number, workload, key, limit_at, goal_at, cost, value):
         self.number, self.workload, self.key = number, workload, key
         self.limit_at, self.goal_at, self.cost, self.value = limit_at, goal_at, cost, value
-        self.shots = 0
-        self.out = {}       # shots in flight: number -> server
+        self.shots, self.out = 0, {}    # shots in flight: number -> server
         self.traces = {}    # shots that are out or may have run: number -> (server, when sent)
         self.tried, self.asked = [], []
         self.ask_at, self.held_until, self.streaming = 0.0, 0.0, False
@@ -72,11 +71,9 @@
     def restart(self, now):
         self.limit, self.cut_at, self.rest_until = self.first_limit, now, now
         self.fails, self.wins = Fading(MEMORY, now), Fading(MEMORY, now)
-        self.pace = 0.0     # mean time to an answer
-        self.heard = now    # last answer
+        self.pace, self.heard = 0.0, now    # mean time to an answer; when the last one came
         self.closed, self.silent, self.trial = True, False, False
-        self.retry_at, self.backoff = now, 1.0
-        self.grant, self.granted_at = 0.0, now
+        self.retry_at, self.backoff, self.grant, self.granted_at = now, 1.0, 0.0, now
         self.said_at, self.expects = 0.0, 0.0   # what an answered probe told
 
 
@@ -145,6 +142,10 @@
         self.alarm(self.watch_at)
         self.watch_backoff = min(self.watch_backoff * 2, self.charter.ask_every / 3)
 
+    def list_moved(self):
+        self.watching, self.watch_at, self.watch_backoff = False, self.host.now, 0.5
+        self.keep_watch(self.host.now)
+
     def keep_watch(self, now):
         # Without a watch, an agent is held to know what it never heard unless it has asked lately.
         if not self.watching:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -382,6 +382,51 @@
     assert agent.wait() == 0
 
 
+def test_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing(deploy, tmp_path):
+    deployment, there = deploy(), ListService()
+    agent = start(tmp_path, deployment)
+    deployment.agent.front.port = int(line_with(agent, b"msg=serving").split(b"port=")[1].split()[0])
+    until(lambda: len(deployment.service.open) == 2)    # the agent in this process watches too
+    waiting, file = deployment.connect(), tmp_path / "agent.json"
+    waiting.sock.sendall(worded("/once/1?do=wait", "POST"))
+    until(deployment.seen)
+    for text, words in ((json.dumps(deployment.papers)[:-90], b"can't be used"),
+                        (json.dumps(deployment.papers | {"discovery": "nowhere"}), b"discovery: found")):
+        file.write_text(text)
+        agent.send_signal(signal.SIGHUP)
+        assert words in line_with(agent, b"configuration refused")
+    assert len(deployment.service.open) == 2
+    file.write_text(json.dumps(deployment.papers | {"discovery": there.address, "name": "n9"}))
+    there.mute, there.lines = True, deployment.service.lines
+    agent.send_signal(signal.SIGHUP)
+    assert b"needs_restart=name" in line_with(agent, b"configuration read")
+    until(lambda: there.watches)
+    assert there.calls == ["/registry/instances?watch=1&after=0"] and len(deployment.service.open) == 2
+    there.tell()                                        # now the new one stands, and the old one is let go
+    until(lambda: len(deployment.service.open) == 1)
+    agent.send_signal(signal.SIGHUP)
+    agent.send_signal(signal.SIGHUP)
+    line_with(agent, b"configuration read")
+    deployment.servers[0].released.set()
+    assert answered(waiting) == (200, b"waited") and deployment.ask() == (200, b"s0 ")
+    assert len(there.calls) == 1
+    agent.terminate()
+    agent.send_signal(signal.SIGHUP)
+    assert agent.wait() == 0
+    there.stop()
+
+
+def test_no_pause_of_the_address_before_applies_to_the_new_one(deploy):
+    deployment, there = deploy(), ListService()
+    deployment.service.stop()
+    until(lambda: deployment.agent.reducer.balancer.watch_backoff > 0.5)
+    deployment.agent.reducer.balancer.watch_backoff = 60.0
+    deployment.agent.roster.move(("127.0.0.1", int(there.address.split(":")[1])))
+    deployment.agent.feed("list_moved")
+    until(lambda: deployment.agent.reducer.balancer.watching)
+    there.stop()
+
+
 @pytest.mark.parametrize("more, status, words", [
     ({"settings": 5}, 2, b"$.settings"), ({"listen": "192.0.2.1:80"}, 1, b"can't listen on"),
 ])
