--- a/cartdeal/agent/configuration.py
+++ b/cartdeal/agent/configuration.py
@@ -97,7 +97,7 @@
         ("settings.groupSize", grant.agents, "1 or more", grant.agents < 1),
         ("settings.caps.maxShots", grant.leave.most_shots, "1 or more", grant.leave.most_shots < 1),
         ("limits.sockets", limits.descriptors, "64 or more", limits.descriptors < 64),
-        ("limits.memory_mb", limits.memory, "48 or more", limits.memory < 48),
+        ("limits.memory_mb", limits.memory, "24 or more", limits.memory < 24),
     ]
     for place, kind in enumerate(grant.workloads):
         wrong.append((f"settings.workloads[{place}].name", kind.name, "a name of its own",
--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -1,19 +1,25 @@
 """One connection: its socket, its one buffer, and the HTTP parser on it; and the room for all connections.
 
-The buffer grows as it needs, and the bodies in it are moved down over the framing that they came in, so that
-a body stands whole in one place. It must never decide what a message means, nor send anything by itself.
+The one place that says whether bytes are a message, for lookups and answers alike. The buffer grows as it
+needs, and the bodies in it are moved down over the framing that they came in, so that a body stands whole in
+one place. It must never decide what a message means, read on behind bytes that are none, nor send anything by
+itself.
 """
 
 import os
+import re
+import select
 
 import gevent
 import httptools
 from gevent import socket
 from gevent.event import Event
 
-HEAD_ROOM = 16384      # the longest head of a message
+HEAD_ROOM = 16384      # the longest head of a message, with the interim ones ahead of it
+FRAMING = 8            # bytes round one byte of a body that a chunked message may take at most
 BODY_ROOM = 65536      # the longest body
 READ = 4096            # room kept for one read
+HELD = 3               # times that a long body is held at most: in the buffer, by itself, with its head again
 STALLED = 10.0         # how long a peer may take to accept what is left of an answer
 
 
@@ -26,8 +32,16 @@
         self.method, self.path, self.status, self.headers, self.body, self.keep = b"", b"", 0, {}, b"", True
 
 
+DEAF = bytearray(65536)     # where bytes go that nobody is to read
+
+FRAMES = (b"content-length", b"transfer-encoding")
+BARE = (*range(100, 200), 204, 304)     # statuses of answers without a body
+# A name that some read as one of these and others don't.
+NEARLY = re.compile(rb"(?:content|transfer)[^a-z]*(?:length|encoding)")
+
+
 class Malformed(Exception):
-    """What came is no HTTP, or too long. `status` is what an application is told."""
+    """What came is no HTTP, can be read two ways, or is too long. `status` is what an application is told."""
 
     def __init__(self, status: int, words: str):
         super().__init__(words)
@@ -50,13 +64,15 @@
 
 
 class Room:
-    """How many connections there may be. Where there is none left, idle ones are closed to make some.
+    """How many connections there may be, and how many bytes for long bodies.
 
-    `freed` is set when one is closed or becomes idle.
+    Where there is no connection left, idle ones are closed to make some. `freed` is set when one is closed or
+    becomes idle.
     """
 
-    def __init__(self, most: int):
+    def __init__(self, most: int, long_bodies: int):
         self.most, self.used, self.closers, self.freed = most, 0, [], Event()
+        self.long_bodies = long_bodies      # bytes that are left
 
     def take(self, spare: int = 0) -> bool:
         while self.used + spare >= self.most:
@@ -73,13 +89,20 @@
 class Connection:
     """`on_close` is called once, when the descriptor is free again."""
 
-    def __init__(self, sock, answers: bool, on_close=lambda connection: None, body_room: int = BODY_ROOM):
+    def __init__(self, sock, answers: bool, on_close=lambda connection: None, body_room: int = BODY_ROOM,
+                 room: Room | None = None):
         self.sock, self.answers, self.on_close, self.body_room = sock, answers, on_close, body_room
+        self.room, self.claimed = room, 0   # bytes of the room for long bodies ...
+        self.claims = 0                     # ... and those for the message that is coming
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
         self.buffer = bytearray(READ)
         self.view = memoryview(self.buffer)
         self.kept = 0               # bytes of the body so far, at the buffer's start
-        self.head = 0               # bytes of the head so far, about; -1 while a body comes
+        self.framing = 0            # bytes of the message so far that are no body, about
+        self.body_size = 0          # bytes of its body so far
+        self.headed = False         # whether its head is whole: what comes as a header then is a trailer
+        self.more = False           # whether more came than the answer that was waited for
+        self.deaf = False           # whether what comes is thrown away, unread, until the other side ends
         self.midway = False         # whether a message has begun and is not whole
         self.message = Message()
         self.whole = []             # messages that have come whole and were not taken yet
@@ -92,18 +115,22 @@
 
     def receive(self, wait: float | None) -> bool:
         """Waits for bytes and parses them; false at the end of the stream. Raises what the socket raises."""
-        self.fit()
         self.sock.settimeout(wait)
+        if self.deaf:
+            return bool(self.sock.recv_into(DEAF))
+        self.fit()
         count = self.sock.recv_into(self.view[self.kept:])
-        if not count:
-            return False
-        if self.head >= 0:
-            self.head += count
+        if not count or self.deaf:
+            return bool(count)
+        self.framing += count
         try:
             self.parser.feed_data(self.view[self.kept:self.kept + count])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
-            raise self.wrong or Malformed(400, f"no HTTP: {trouble}") from None
-        if self.head > HEAD_ROOM:
+            if not (self.answers and self.whole):   # what follows a whole answer is no fault of its own
+                raise self.wrong or Malformed(400, f"no HTTP: {trouble}") from None
+            self.more = True
+        if self.framing > HEAD_ROOM + FRAMING * self.body_size:
+            # Counted to the end of the message: trailers and chunks of nothing come without end, too.
             raise Malformed(431, f"a head of over {HEAD_ROOM} bytes")
         return True
 
@@ -112,7 +139,7 @@
         size = len(self.buffer)
         if size - self.kept < READ:
             size += max(READ, size)
-        elif not self.midway and size > 4 * READ:
+        elif not self.midway and size > READ:
             size = READ
         if size != len(self.buffer):
             self.view.release()
@@ -124,26 +151,50 @@
     # What the parser finds
 
     def on_message_begin(self):
-        self.message, self.kept, self.midway = Message(), 0, True
+        if self.answers and self.whole:
+            raise self.fault(502, "more than the answer")
+        self.message, self.kept, self.midway, self.headed = Message(), 0, True, False
+        self.claims = 0
+        if self.done():
+            self.give_back()
+
+    def done(self) -> bool:
+        """Whether nothing that came is needed any longer."""
+        return not self.whole
 
     def on_url(self, part: bytes):
         self.message.path += part
 
     def on_header(self, name: bytes, value: bytes):
-        self.message.headers[name.lower()] = value
+        if self.headed:
+            return      # a trailer must not stand in for a header that has decided already
+        name, headers = name.lower(), self.message.headers
+        # As a list, a repeated one fits no form that holds one value, and no one takes the first or the last.
+        headers[name] = headers[name] + b", " + value if name in headers else value
 
     def on_headers_complete(self):
+        message, headers, self.headed = self.message, self.message.headers, True
         if self.answers:
-            self.message.status = self.parser.get_status_code()
+            message.status = self.parser.get_status_code()
         else:
-            self.message.method = self.parser.get_method()
-        length = self.message.headers.get(b"content-length", b"0")
-        if length.isdigit():
-            self.check_room(int(length))
-        self.head = -1
+            message.method = self.parser.get_method()
+        if self.parser.get_http_version() != "1.1":
+            raise self.fault(505, "not HTTP/1.1")
+        if self.parser.should_upgrade():
+            raise self.fault(400, "asks for another protocol")
+        if any(NEARLY.match(name) and name not in FRAMES for name in headers):
+            raise self.fault(400, "a header that may frame the message")
+        length, coding = (headers.get(name) for name in FRAMES)
+        if coding is not None and coding.lower() != b"chunked":
+            raise self.fault(400, "a transfer coding other than chunked")
+        if self.answers and coding is length is None and message.status not in BARE:
+            raise self.fault(502, "an answer whose end can't be told")
+        self.check_room(int(length or 0))
 
     def on_body(self, part: bytes):
         end = self.kept + len(part)
+        self.body_size += len(part)
+        self.framing -= len(part)
         self.check_room(end)
         # Behind the place where the parser reads: what stood there is parsed already.
         self.view[self.kept:end] = part
@@ -151,11 +202,28 @@
 
     def check_room(self, size: int):
         if size > self.body_room:
-            self.wrong = Malformed(413, f"a body of over {self.body_room} bytes")
-            raise self.wrong
+            raise self.fault(413, f"a body of over {self.body_room} bytes")
+        more = HELD * size - self.claims
+        if self.room and size > READ and more > 0:
+            if more > self.room.long_bodies:
+                raise self.fault(503, "no memory for so long a body")
+            self.room.long_bodies -= more
+            self.claims += more
+            self.claimed += more
+
+    def give_back(self):
+        if self.claimed:
+            self.room.long_bodies += self.claimed
+            self.claimed = self.claims = 0
+
+    def fault(self, status: int, words: str) -> Malformed:
+        self.wrong = Malformed(status, words)       # the parser puts an error of its own round it
+        return self.wrong
 
     def on_message_complete(self):
-        message, self.midway, self.head = self.message, False, 0
+        message, self.midway = self.message, False
+        if not 100 <= message.status < 200:
+            self.framing = self.body_size = 0
         message.keep = self.parser.should_keep_alive()
         message.body = bytes(self.view[:self.kept])
         self.kept = 0
@@ -173,7 +241,11 @@
     # Writing
 
     def push(self, data: bytes, last: bool = False):
-        """Writes at once what the socket takes; the rest goes out in a greenlet of its own, in order."""
+        """Writes at once what the socket takes; the rest goes out in a greenlet of its own, in order.
+
+        After the last of it the connection is closed. One that is deaf only ends: to close it with bytes
+        unread would reset it, and take what was written with it. Its owner closes it then.
+        """
         self.last |= last
         if not self.rest:
             try:
@@ -186,7 +258,7 @@
         if self.unsent and not self.rest:
             self.rest = gevent.spawn(self.push_rest)
         elif self.last and not self.unsent:
-            self.close()
+            self.end()
 
     def push_rest(self):
         try:
@@ -195,24 +267,29 @@
                 self.sock.settimeout(STALLED)
                 self.sock.sendall(data)
         except OSError:
-            self.last = True
-        self.rest = None
+            return self.close()
+        finally:
+            self.rest = None
         if self.last:
-            self.close()
+            self.end()
 
-    def stale(self) -> bool:
-        """Whether a kept connection has ended, or holds bytes that nobody asked for."""
+    def end(self):
         try:
-            self.sock.settimeout(0.0)
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
+            if self.deaf:
+                return self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
-        return True
+        self.close()
+
+    def unread(self) -> bool:
+        """Whether bytes, or the other side's end, have come that nobody has read."""
+        look = select.poll()
+        look.register(self.sock, select.POLLIN)
+        return bool(look.poll(0))
 
     def close(self):
         if not self.closed:
             self.closed = True
+            self.give_back()
             self.sock.close()
             self.on_close(self)
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -14,7 +14,7 @@
 from msgspec.structs import replace
 
 from cartdeal.agent import configuration
-from cartdeal.agent.connection import BODY_ROOM, HEAD_ROOM, Room, bound
+from cartdeal.agent.connection import Room, bound
 from cartdeal.agent.front import Front
 from cartdeal.agent.reducer import Reducer
 from cartdeal.agent.roster import Roster
@@ -23,8 +23,9 @@
 LONGEST_WORDS = 256
 RESERVED = 32       # descriptors for the list service, the agents, the log and the loop itself
 AGAIN = 0.05        # pause before what died of a fault begins again
-OWN_MEMORY = 32.0   # megabytes that the agent holds before its first connection, with room to spare
-PER_CONNECTION = 2 * (HEAD_ROOM + BODY_ROOM) / 1e6    # its buffer and the body it brought, at their longest
+OWN_MEMORY = 18.0   # megabytes that the agent holds before its first connection, with room to spare
+PER_CONNECTION = 0.03   # megabytes for one with its lookup or shot, but for a long body
+LONG_BODIES = 0.4   # share of what is left of the memory that is for those
 
 log = logging.getLogger("cartdeal.agent")
 
@@ -36,13 +37,13 @@
         self.order = 0
         self.sooner = Event()
         self.reducer = Reducer(station, monotonic(), time())
-        self.room = Room(room_for(station.limits))
+        self.room = Room(*room_for(station.limits))
         self.front = Front(station, self.feed, lambda: self.reducer.ready, self.room)
         self.shots = Shots(station, self.feed, self.room)
         self.roster = Roster(station, self.feed, lambda: self.reducer.version)
         self.words = self.open_words()
         self.verbs = {
-            "begun": self.front.begun, "answer": self.front.answer,
+            "begun": self.front.begun, "refuse": self.front.refuse_lookup, "answer": self.front.answer,
             "shoot": self.shots.shoot, "cancel": self.shots.cancel, "probe": self.shots.probe,
             "close_idle": self.shots.close_idle,
             "watch": self.roster.watch, "fetch_list": self.roster.fetch_list,
@@ -51,7 +52,8 @@
 
     def start(self):
         self.carry_out()
-        works = [self.keep_time, self.shots.sweep, self.front.accept] + [self.hear] * bool(self.words)
+        works = [self.keep_time, self.shots.sweep, self.front.sweep, self.front.accept]
+        works += [self.hear] * bool(self.words)
         self.works = [gevent.spawn(self.endure, work) for work in works]
 
     def reread(self):
@@ -150,5 +152,8 @@
         log.info("note", extra={"words": text})
 
 
-def room_for(limits) -> int:
-    return int(min(limits.descriptors - RESERVED, (limits.memory - OWN_MEMORY) / PER_CONNECTION))
+def room_for(limits) -> tuple[int, int]:
+    """Connections, and bytes for long bodies."""
+    memory = limits.memory - OWN_MEMORY
+    connections = min(limits.descriptors - RESERVED, (1 - LONG_BODIES) * memory / PER_CONNECTION)
+    return int(connections), int(LONG_BODIES * memory * 1e6)
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -15,6 +15,7 @@
 from cartdeal.terms import Listing, Load, Outcome, Repeat, State
 
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+ID_MEMORY = 5.0     # seconds for which a lookup's id is known, twice that at most
 OVERDUE = 0.02      # how long after its time limit a lookup that the balancer forgot is answered all the same
 
 
@@ -35,6 +36,8 @@
     BROKEN = 1
     TIMED_OUT = 2
     GIVEN_UP = 3
+    SPOILT = 4      # what came back can't be read, or can in two ways
+    NO_ROOM = 5     # the agent's own limits left none for it
 
 
 class Ending(NamedTuple):
@@ -55,8 +58,10 @@
         if self.cause is Cause.ANSWERED:
             if self.status == 200:
                 return Outcome.COMPLETED
+            if 400 <= self.status < 500:
+                return Outcome.UNUSABLE     # the lookup's fault, not the server's
             return Outcome.FULL if self.status in (503, 504) and self.not_processed else Outcome.ERROR
-        if self.cause is Cause.GIVEN_UP:
+        if self.cause in (Cause.GIVEN_UP, Cause.NO_ROOM):   # neither is the server's doing
             return Outcome.CANCELLED if written else Outcome.NEVER_SENT
         if not written:
             return Outcome.NOT_CONNECTED
@@ -97,6 +102,8 @@
         self.count = 0
         self.end_at = inf           # when the agent is to have answered all
         self.lookups: dict[int, Owed] = {}
+        # Those of ID_MEMORY seconds and of as many before: longer than any copy is on its way.
+        self.ids, self.ids_before, self.ids_until = set(), set(), now
         self.version = 0
         self.indices: dict[bytes, int] = {}
         self.names: list[bytes] = []
@@ -120,6 +127,13 @@
     # Events
 
     def taken(self, asker, query: Query):
+        if query.id in self.ids or query.id in self.ids_before:
+            # Whose it is can't be told: its answer, or its end, would be another lookup's.
+            return self.asked.append(("refuse", asker, 409, "an X-Request-ID that was used just now"))
+        if self.now > self.ids_until:
+            self.ids_before, self.ids = self.ids, set()
+            self.ids_until = self.now + ID_MEMORY
+        self.ids.add(query.id)
         self.count += 1
         number, limit_at = self.count, min(self.now + query.wait, self.end_at)
         self.lookups[number] = Owed(asker, query, limit_at)
@@ -143,6 +157,8 @@
         outcome = ending.outcome()
         if outcome is Outcome.COMPLETED and owed.asker is not None:
             self.answer(number, 200, ending.kind, ending.body, 0.0)
+        elif outcome is Outcome.UNUSABLE:
+            self.answer(number, 400, b"", b"", 0.0)
         finished = owed.asker is None
         self.drop(number, owed)
         self.balancer.shot_ended(number, server, outcome, shot, ending.took, finished, load)
@@ -249,7 +265,7 @@
         self.asked.append(("fetch_list",))
 
     def close_idle(self, server: int):
-        self.asked.append(("close_idle", self.addresses[server]))
+        self.asked.append(("close_idle", server))
 
     def tell(self, agent: int, words: bytes):
         self.asked.append(("tell", agent, words))
--- a/cartdeal/agent/roster.py
+++ b/cartdeal/agent/roster.py
@@ -15,7 +15,7 @@
 from cartdeal.agent.connection import Connection, Malformed
 
 PATH = "/registry/instances"
-LIST_ROOM = 4 << 20     # the longest list, or line of one
+LIST_ROOM = 1 << 20     # the longest list, or line of one
 ANSWER = 3.0        # how long a call may take to its first line
 SILENCE = 5.0       # a watch has a line every two seconds; TCP does not tell that a service is gone
 
--- a/cartdeal/agent/shots.py
+++ b/cartdeal/agent/shots.py
@@ -6,6 +6,7 @@
 
 import logging
 from time import monotonic
+from typing import Annotated
 
 import gevent
 import msgspec
@@ -17,14 +18,28 @@
 from cartdeal.terms import Load
 
 SPARE = 8           # one in so many descriptors is left to the application's connections
+SETTLED = 0.005     # a connection rests so long after an answer: what more belongs to that one shows by then
 KEPT = 0.6          # share of the server's idle time after which a kept connection is closed
 CONNECT = 1.0       # bound on connecting where the deployment sets none
 PROBE = 2.0         # a probe may take this many times the bound on connecting
 SWEEP = 1.0         # seconds between looks for connections that have been idle too long
 
+Held = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
 log = logging.getLogger("cartdeal.shots")
 
 
+class NoRoom(Exception):
+    """The agent's own limits leave no connection for a shot."""
+
+
+class Report(msgspec.Struct):
+    """What a server says of its load; numbers it can't mean make the whole of no use."""
+
+    outstanding: Held | None = None
+    throughput: Held | None = None
+
+
 class Shot:
     """One shot or probe that is out: where it is and how far it has come."""
 
@@ -49,7 +64,7 @@
         self.kept_for = KEPT * (seconds(leave.idle_limit) or 10.0)
         self.reports = station.grant.reports
         self.probe_path = b"/health/live" if self.reports.how == "none" else b"/stats"
-        self.idle: dict[str, list[Connection]] = {}
+        self.idle: dict[int, list[Connection]] = {}     # by server: another at its address inherits nothing
         self.out: dict[tuple[int, int], Shot] = {}
         room.closers.append(self.close_oldest)
 
@@ -69,12 +84,12 @@
     def probe(self, server: int, address: str):
         gevent.spawn(self.run_probe, server, address)
 
-    def close_idle(self, address: str):
-        for connection in self.idle.pop(address, ()):
+    def close_idle(self, server: int):
+        for connection in self.idle.pop(server, ()):
             connection.close()
 
     def close_oldest(self) -> bool:
-        oldest = min(self.idle, key=lambda address: self.idle[address][0].since, default=None)
+        oldest = min(self.idle, key=lambda server: self.idle[server][0].since, default=None)
         if oldest is None:
             return False
         self.idle[oldest].pop(0).close()
@@ -84,40 +99,40 @@
     # Greenlets
 
     def run_shot(self, shot, lookup, number, server, address, query, until):
-        ending = self.exchange(shot, address, until, lambda: written(query, until))
+        ending = self.exchange(shot, server, address, until, lambda: written(query, until))
         del self.out[lookup, number]
         if ending.cause is not Cause.ANSWERED or ending.status != 200:
             log.info("shot ended", extra={"lookup": query.id.decode("latin-1"), "address": address,
                                           "outcome": ending.outcome().value, "words": ending.words})
         if ending.cause is Cause.BROKEN:
-            self.close_idle(address)    # they ended with it, or will: a shot on one may never be repeated
+            self.close_idle(server)     # they ended with it, or will: a shot on one may never be repeated
         self.feed("shot_ended", lookup, server, number, ending, self.load(ending.report))
 
     def run_probe(self, server, address):
         shot = Shot()
         until = shot.sent + PROBE * self.connect_limit
         text = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (self.probe_path, address.encode())
-        ending = self.exchange(shot, address, until, lambda: text)
-        if ending.cause is not Cause.ANSWERED:
-            self.close_idle(address)    # those to a silent machine stay silent, or break
+        ending = self.exchange(shot, server, address, until, lambda: text)
+        if ending.cause in (Cause.BROKEN, Cause.TIMED_OUT):
+            self.close_idle(server)     # those to a silent machine stay silent, or break
         self.feed("probe_ended", server, ending, self.load(ending.body))
 
     def load(self, report: bytes) -> Load | None:
         if self.reports.how == "none" or not report:
             return None
         try:
-            said = msgspec.json.decode(report, type=dict[str, float])
+            said = msgspec.json.decode(report, type=Report)
         except (msgspec.MsgspecError, UnicodeError):
             return None
-        return Load(said.get("outstanding"), said.get("throughput"))
+        return Load(said.outstanding, said.throughput)
 
-    def exchange(self, shot: Shot, address: str, until: float, text) -> Ending:
+    def exchange(self, shot: Shot, server: int, address: str, until: float, text) -> Ending:
         """Writes one request and reads its whole answer. Whatever goes wrong comes back as an Ending."""
         answer, shot.begun = None, True
         try:
             if shot.given_up:
                 return shot.end(Cause.GIVEN_UP)
-            shot.connection = self.kept(address) or self.connect(address, until)
+            shot.connection = self.kept(server, address) or self.connect(address, until)
             self.write(shot, text(), until)
             answer = self.read(shot, until)
             if answer is None:
@@ -131,15 +146,19 @@
             return shot.end(Cause.GIVEN_UP)
         except (TimeoutError, BlockingIOError):
             return shot.end(Cause.TIMED_OUT, "no answer in time")
-        except (OSError, Malformed) as trouble:
+        except NoRoom:
+            return shot.end(Cause.NO_ROOM, "no descriptor to spare")
+        except Malformed as trouble:
+            return shot.end(Cause.SPOILT, str(trouble))
+        except OSError as trouble:
             return shot.end(Cause.BROKEN, str(trouble))
         except Exception as trouble:
             log.exception("shot died", extra={"address": address})
             return shot.end(Cause.BROKEN, repr(trouble))
         finally:
             connection = shot.connection
-            if connection and answer and answer.keep and not connection.whole and not shot.given_up:
-                self.keep(address, connection)
+            if connection and answer and answer.keep and not connection.more and not shot.given_up:
+                self.keep(server, connection)
             elif connection:
                 connection.close()
 
@@ -161,23 +180,25 @@
 
     # Connections
 
-    def kept(self, address: str) -> Connection | None:
-        while address in self.idle:
-            connection = self.idle[address].pop()
-            self.tidy(address)
-            if not connection.stale():
+    def kept(self, server: int, address: str) -> Connection | None:
+        """The newest that has rested; one that has ended, or holds bytes that nobody asked for, is closed."""
+        idle, settled = self.idle.get(server, []), monotonic() - SETTLED
+        for connection in [each for each in reversed(idle) if each.since <= settled]:
+            idle.remove(connection)
+            self.tidy(server)
+            if connection.address == address and not connection.unread():
                 return connection
             connection.close()
         return None
 
-    def tidy(self, address: str):
-        if not self.idle[address]:
-            del self.idle[address]
+    def tidy(self, server: int):
+        if not self.idle[server]:
+            del self.idle[server]
 
     def connect(self, address: str, until: float) -> Connection:
         # No room is no crash: such a shot never ran, and the balancer finds it another way or turns it back.
         if not self.room.take(self.room.most // SPARE):
-            raise OSError("no descriptor to spare")
+            raise NoRoom
         host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -188,21 +209,24 @@
             sock.close()
             self.room.give()
             raise
-        return Connection(sock, answers=True, on_close=lambda connection: self.room.give())
+        connection = Connection(sock, True, lambda connection: self.room.give(), room=self.room)
+        connection.address = address
+        return connection
 
-    def keep(self, address: str, connection: Connection):
+    def keep(self, server: int, connection: Connection):
         connection.since = monotonic()
-        self.idle.setdefault(address, []).append(connection)
+        connection.give_back()
+        self.idle.setdefault(server, []).append(connection)
         self.room.freed.set()
 
     def sweep(self):
         while True:
             gevent.sleep(SWEEP)
             before = monotonic() - self.kept_for
-            for address, idle in list(self.idle.items()):
+            for server, idle in list(self.idle.items()):
                 while idle and idle[0].since < before:
                     idle.pop(0).close()
-                self.tidy(address)
+                self.tidy(server)
 
 
 def left(until: float) -> float:
--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -402,7 +402,7 @@
             self.lookups[number].streaming = True
 
     def learn(self, server, outcome, took, lookup, now):
-        if outcome is Outcome.CANCELLED or outcome is Outcome.NEVER_SENT:
+        if outcome in (Outcome.CANCELLED, Outcome.NEVER_SENT, Outcome.UNUSABLE):
             return
         goal = lookup.workload.goal_time if lookup else took * 2
         if outcome is Outcome.COMPLETED:
--- a/cartdeal/terms.py
+++ b/cartdeal/terms.py
@@ -34,6 +34,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NEVER_SENT = "never sent"
+    UNUSABLE = "unusable"   # the server can make nothing of the lookup, and would not again
 
     @property
     def never_ran(self) -> bool:
