Let go of servers that are gone, in reducer and module; indices are never used again

One rule now: a server that the list calls gone is dropped once nothing is out there; traces hold their own. A new id at an old address gets a new index.

--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -14,7 +14,7 @@
 from cartdeal.choice import Balancer
 from cartdeal.terms import Listing, Load, Outcome, Repeat, State
 
-STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+STATES = {"active": State.READY, "leaving": State.DRAINING}
 ID_MEMORY = 5.0     # seconds for which a lookup's id is known, twice that at most
 OVERDUE = 0.02      # how long after its time limit a lookup that the balancer forgot is answered all the same
 
@@ -94,6 +94,14 @@
         self.shots, self.out = 0, 0
 
 
+class Known(NamedTuple):
+    """What the list says of a server that the balancer has no use for."""
+
+    name: bytes
+    address: str
+    started: float
+
+
 class Reducer:
     def __init__(self, station: Station, now: float, wall: float):
         self.station, self.now = station, now
@@ -105,10 +113,9 @@
         # Those of ID_MEMORY seconds and of as many before: longer than any copy is on its way.
         self.ids, self.ids_before, self.ids_until = set(), set(), now
         self.version = 0
-        self.indices: dict[bytes, int] = {}
-        self.names: list[bytes] = []
-        self.addresses: list[str] = []
-        self.started: list[float] = []
+        self.named = 0      # servers so far: each gets an index of its own, which is never another's
+        self.indices: dict[bytes, int] = {}     # these two hold a server until the list says that it is gone
+        self.servers: dict[int, Known] = {}
         self.zones = {name: place for place, name in enumerate(station.grant.zones)}
         charter = station.grant.charter(station.seed)
         # A second set, for lookups whose form promises less than their workload: these may run once at most.
@@ -122,7 +129,7 @@
 
     @property
     def ready(self) -> bool:
-        return bool(self.names)
+        return bool(self.named)
 
     # Events
 
@@ -187,12 +194,12 @@
     def listed(self, roll: Roll, fresh: bool = True):
         self.version = roll.version
         self.note(f"list {roll.version}: {len(roll.lines)} lines{' in all' * roll.whole}")
-        lines = [self.listing(line) for line in roll.lines]
+        gone = [line.name.encode() for line in roll.lines if line.state == "left"]
+        lines = [self.listing(line) for line in roll.lines if line.state != "left"]
         if roll.whole:
-            here = {line.server for line in lines}
-            for index in set(range(len(self.names))) - here:
-                lines.append(Listing(index, self.names[index], 0, 0, 0, State.GONE, 1.0, 0.0))
-                self.close_idle(index)
+            here = {line.name for line in lines}
+            gone += [name for name in self.indices if name not in here]
+        lines += [self.let_go(name) for name in gone if name in self.indices]
         self.balancer.listed(lines, fresh)
 
     def watch_stands(self):
@@ -209,20 +216,24 @@
     def told(self, sender: int, words: bytes):
         self.balancer.told(sender, words)
 
+    def let_go(self, name: bytes) -> Listing:
+        index = self.indices.pop(name)
+        del self.servers[index]
+        self.close_idle(index)
+        return Listing(index, name, 0, 0, 0, State.GONE, 1.0, 0.0)
+
     def listing(self, line) -> Listing:
         name = line.name.encode()
-        index = self.indices.setdefault(name, len(self.names))
-        state = STATES.get(line.state, State.DRAINING)
+        if name not in self.indices:
+            self.indices[name] = self.named
+            self.named += 1
+        index = self.indices[name]
         started = line.started / 1e3 - self.boot if line.started else 0.0
-        if index == len(self.names):
-            self.names.append(name)
-            self.addresses.append(line.address)
-            self.started.append(started)
-        elif state is State.GONE or started != self.started[index] or line.address != self.addresses[index]:
-            # A kept connection to what stood there before would cost a shot.
-            self.close_idle(index)
-            self.started[index] = started
-            self.addresses[index] = line.address or self.addresses[index]
+        known = Known(name, line.address, started)
+        if self.servers.setdefault(index, known) != known:
+            self.close_idle(index)      # a kept connection to what stood there before would cost a shot
+            self.servers[index] = known
+        state = STATES.get(line.state, State.DRAINING)
         return Listing(index, name, self.zones.get(line.zone, 0), 0, line.cell, state, line.weight, started)
 
     # What the balancer asks for
@@ -232,7 +243,7 @@
         shot, owed.shots = owed.shots, owed.shots + 1
         owed.out += 1
         until = min(until, owed.limit_at) if until else owed.limit_at
-        self.asked.append(("shoot", lookup, shot, server, self.addresses[server], owed.query, until))
+        self.asked.append(("shoot", lookup, shot, server, self.servers[server].address, owed.query, until))
 
     def turn_back(self, lookup: int, wait: float):
         self.answer(lookup, 503, b"", b"", wait)
@@ -256,7 +267,7 @@
         self.asked.append(("cancel", lookup, shot))
 
     def probe(self, server: int):
-        self.asked.append(("probe", server, self.addresses[server]))
+        self.asked.append(("probe", server, self.servers[server].address))
 
     def watch(self, on: bool = True):
         self.asked.append(("watch", on))
--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -56,15 +56,13 @@
         self.limit_at, self.goal_at, self.cost, self.value = limit_at, goal_at, cost, value
         self.shots, self.out = 0, {}    # shots in flight: number -> server
         self.traces = {}    # shots that are out or may have run: number -> (server, when sent)
-        self.tried, self.asked = [], []
-        self.ask_at, self.held_until, self.streaming = 0.0, 0.0, False
+        self.tried, self.asked, self.ask_at, self.held_until, self.streaming = [], [], 0.0, 0.0, False
 
 
 class Server:
     def __init__(self, index, limit, now):
         self.index, self.first_limit, self.state, self.started = index, limit, State.GONE, 0.0
-        self.out = {}       # own shots in flight there: (lookup, shot) -> when sent
-        self.sends = Fading(MEMORY, now)
+        self.out, self.sends = {}, Fading(MEMORY, now)  # own shots in flight: (lookup, shot) -> when sent
         self.askers, self.asked_at = {}, -inf    # lookups that wait for the answer to a probe
         self.restart(now)
 
@@ -79,8 +77,7 @@
 
 class Balancer:
     def __init__(self, host, charter):
-        self.host, self.charter = host, charter
-        now = host.now
+        self.host, self.charter, now = host, charter, host.now
         # Agents that each begin with a whole server's room for themselves jam it together at the start.
         self.first_limit = max(LEAST, min(4.0, SHARED_LIMIT / charter.agents))
         self.counter, self.servers, self.lookups, self.held = 0, {}, {}, {}
@@ -123,19 +120,24 @@
                 server.started = line.started
                 server.grant = self.chance()
             if line.state is not State.GONE:
-                server.zone, server.cell = line.zone, line.cell
-                server.weight = max(line.weight, 1e-3)
+                server.zone, server.cell, server.weight = line.zone, line.cell, max(line.weight, 1e-3)
             if line.started > server.started:
                 server.started = line.started
                 server.restart(now)
                 # Agents that all begin with a whole shot to grant would meet at the cold server in one burst.
                 server.grant = self.chance()
             server.state = line.state
+            self.let_go(server)
         for zone, members in enumerate(self.zones):
             members[:] = [s for s in self.servers.values() if s.state is State.READY and s.zone == zone]
         self.check_zones(now)
         self.release(now)
 
+    def let_go(self, server):
+        # Where servers are replaced all day, those gone would fill the memory; traces hold their own.
+        if server.state is State.GONE and not server.out:
+            del self.servers[server.index]
+
     def watch_failed(self):
         self.watching = False
         self.watch_at = self.host.now + self.watch_backoff * (0.5 + self.chance())
@@ -296,8 +298,7 @@
         rate = COLD_SHARE * ramp * server.weight * like
         # Counted in short spans: what was not used lately is no leave for a burst.
         most = max(1.0, rate * self.charter.cold_span / 4)
-        server.grant = min(most, server.grant + rate * (now - server.granted_at))
-        server.granted_at = now
+        server.grant, server.granted_at = min(most, server.grant + rate * (now - server.granted_at)), now
         return server.grant >= 1.0 and lookup.cost < 3.0
 
     def like(self, zone, now):
@@ -317,8 +318,7 @@
         lookup.asked.clear()
         if self.held.pop(lookup.number, None) and self.order[self.standing] == server.zone:
             self.met.add(now)
-        if not server.out:
-            server.heard = now
+        server.heard = server.heard if server.out else now
         server.out[lookup.number, shot] = now
         self.alarm(now + self.patience(server, now))
         server.sends.add(now)
@@ -377,6 +377,7 @@
             return
         lookup = self.lookups.get(number)
         self.learn(server, outcome, took, lookup, now)
+        self.let_go(server)
         if lookup is not None:
             lookup.out.pop(shot, None)
             if outcome.never_ran:
@@ -435,8 +436,8 @@
 
     def cut(self, server, now, least=1.0):
         if now >= server.cut_at:
-            # One shot from each of many agents keeps a late server late: they go under one before it jams.
-            few = self.charter.agents <= len(self.servers)  # more of them ask before they shoot
+            # One shot from each keeps a late server late: agents that don't ask go under one before it jams.
+            few = self.charter.agents <= len(self.servers)
             least = min(least, max(HALF, server.first_limit)) if few else least
             server.limit = max(min(server.limit, least), server.limit * CUT)
             server.cut_at = now + max(0.1, server.pace)
@@ -492,10 +493,13 @@
     def check_zones(self, now):
         """Failover: away from a zone that fails, to the next that passes; none passing, stay."""
         if not self.passes(self.order[self.standing]):
-            self.standing = next((p for p, zone in enumerate(self.order) if self.passes(zone)), self.standing)
-            self.failback_at = now + FAILBACK
+            self.stand(now)
             self.alarm(self.failback_at)
 
+    def stand(self, now):
+        self.standing = next((p for p, zone in enumerate(self.order) if self.passes(zone)), self.standing)
+        self.failback_at = now + FAILBACK
+
     # What no event brings up
 
     def alarm(self, at):
@@ -514,9 +518,7 @@
         self.keep_watch(now)
         if self.standing:
             if now >= self.failback_at:
-                self.failback_at = now + FAILBACK
-                higher = self.order[:self.standing]
-                self.standing = next((p for p, zone in enumerate(higher) if self.passes(zone)), self.standing)
+                self.stand(now)
             self.alarm(self.failback_at)
         for server in self.servers.values():
             if server.out and server.closed:
