--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -1,9 +1,6 @@
 """All of an agent's decisions: which server a lookup's shot goes to, and when it is held or given up.
 
-Make one Balancer(host, charter) for each agent; `Host`, `Charter` and the other types are in terms.py. Then
-call one method for each thing that happens, with `host.now` set to its time: `listed` and `watch_failed` for
-the server list, `taken` and `abandoned` for lookups, `shot_ended` and `stream_started` for shots, and
-`probe_ended`, `woken` and `told`. Each acts through the host before it returns.
+Each thing that happens is one method call on an agent's Balancer, with `host.now` set; it acts by the host.
 """
 
 from math import exp, inf, log
@@ -11,27 +8,21 @@
 
 from cartdeal.terms import Group, Outcome, Repeat, State
 
-GLANCE = 0.05         # how often room is looked for while a lookup is held; how long a probe's answer holds
-SOON = 0.002          # the least time to a timer
+GLANCE, SOON = 0.05, 0.002  # how often room is looked for, a probe's answer holds; the least time to a timer
 SPARE = 0.04          # time kept free before a time limit, for the answer to get out
-FAILBACK = 10.0       # seconds between checks whether a zone ranked higher is fit again
-MEMORY = 6.0          # over how many seconds failures, rates and paces fade
-DOUBT = 2.0           # failures (fading) that may open a circuit ...
-FAILING = 0.3         # ... if they are at least this share of what ended
+FAILBACK, MEMORY = 10.0, 6.0  # seconds between checks of zones ranked higher; over which what is seen fades
+DOUBT, FAILING = 2.0, 0.3  # failures (fading) that may open a circuit, if they are such a share of what ended
+SHUN = 4.0            # longest that a workload passes by a server that fails with it
 SHARED_LIMIT = 8.0    # in flight at a server nothing is known of, from all agents
-HALF, LEAST = 0.5, 0.25  # limits under one mean pauses between single shots
-CUT = 0.75            # what a limit keeps of itself when it is cut
+HALF, LEAST, CUT = 0.5, 0.25, 0.75  # limits under one mean pauses between single shots; what a cut leaves
 CALM, LATE, TOO_LATE = 0.15, 0.25, 0.6  # of the goal time: a limit grows, is cut, falls under one
-YIELD = 1.5           # times the mean in flight at which a server yields
-HOLD = 0.3            # share of the goal time that a lookup may be held
-TROUBLE = 0.08        # share of lookups missed at home from which on servers are asked first ...
-THIN = 20.0           # ... by agents with fewer lookups (fading) a server of the zone, twice that for reports
+YIELD, HOLD = 1.5, 0.3  # times the mean in flight at which a server yields; share of the goal time to be held
+TROUBLE, JAMMED = 0.08, 0.3  # share missed at home: servers are asked first; no shot goes out unasked
+THIN = 20.0           # lookups (fading) a server from which on agents don't ask, twice that for reports
 TARDY = 2.0           # times the usual time to an answer at which an asked server yields
-CROWDED = 0.6         # share of the goal time: a server that expects to take longer yields
-JAMMED = 0.3          # share missed from which on no shot goes out that an asked server did not agree to
-SLOWED = 8.0          # times the answer to a probe that a server without a report is expected to take
+CROWDED, SLOWED = 0.6, 8.0  # of the goal time, expected: too long; times a probe's answer that a lookup takes
 COLD_SHARE = 0.7      # share of its ramp that a cold server is sent
-MASK = (1 << 64) - 1
+MASK, NEVER = (1 << 64) - 1, (0, 0.0, 1.0)
 
 
 class Fading:
@@ -61,7 +52,7 @@
 
 class Server:
     def __init__(self, index, limit, now):
-        self.index, self.first_limit, self.state, self.started = index, limit, State.GONE, 0.0
+        self.index, self.first_limit, self.state, self.started = index, limit, State.GONE, -inf
         self.out, self.sends = {}, Fading(MEMORY, now)  # own shots in flight: (lookup, shot) -> when sent
         self.askers, self.asked_at = {}, -inf    # lookups that wait for the answer to a probe
         self.restart(now)
@@ -73,6 +64,7 @@
         self.closed, self.silent, self.trial = True, False, False
         self.retry_at, self.backoff, self.grant, self.granted_at = now, 1.0, 0.0, now
         self.said_at, self.expects = 0.0, 0.0   # what an answered probe told
+        self.shuns = {}     # workload -> failures in a row, until when and for how long it passes by
 
 
 class Balancer:
@@ -82,9 +74,8 @@
         self.first_limit = max(LEAST, min(4.0, SHARED_LIMIT / charter.agents))
         self.counter, self.servers, self.lookups, self.held = 0, {}, {}, {}
         self.zones = [[] for _ in range(charter.zones)]
-        others = [zone for zone in range(charter.zones) if zone != charter.own_zone]
-        others.sort(key=lambda zone: (mixed(crc32(b"%d/%d" % (charter.number, zone))), zone))
-        self.order = [charter.own_zone, *others]
+        self.order = sorted(range(charter.zones), key=lambda zone: (
+            zone != charter.own_zone, mixed(crc32(b"%d/%d" % (charter.number, zone))), zone))
         self.standing, self.failback_at = 0, now + FAILBACK  # standing: place in the order of zones
         self.arrivals, self.importance, self.costs = (Fading(MEMORY, now) for _ in range(3))
         self.tenants, self.like_rate = {}, {}  # by zone: last known sends a second to a warm one, by weight
@@ -112,13 +103,11 @@
             self.watching, self.watch_backoff = True, 0.5
         for line in lines:
             server = self.servers.get(line.server)
-            if server is None and line.state is State.GONE:
-                continue
             if server is None:
+                if line.state is State.GONE:
+                    continue
                 server = self.servers[line.server] = Server(line.server, self.first_limit, now)
                 server.hash = mixed(crc32(line.name))
-                server.started = line.started
-                server.grant = self.chance()
             if line.state is not State.GONE:
                 server.zone, server.cell, server.weight = line.zone, line.cell, max(line.weight, 1e-3)
             if line.started > server.started:
@@ -203,7 +192,7 @@
         elif lookup.number in self.held and now < lookup.held_until:
             # While an asked server may still answer, what others have to offer comes too late to matter.
             lookup.ask_at = lookup.held_until if lookup.asked else now
-        elif last or further or lookup.traces or not self.hold(lookup, now):
+        elif last or not self.hold(lookup, now):
             self.give_up(lookup, now)
 
     def hold(self, lookup, now):
@@ -223,14 +212,12 @@
             usable = members
         if not usable or any(s.zone == usable[0].zone for s in lookup.asked):
             return None
-        mean = like = None
-        key, best, top, spare = lookup.key, None, -1.0, None
+        key, best, top, spare, mean, like = lookup.key, None, -1.0, None, None, None
         for s in usable:
             busy = len(s.out)
-            if busy >= max(1.0, s.limit) or now < s.rest_until or s in lookup.tried:
-                continue
-            crowded = s.expects > CROWDED * lookup.workload.goal_time and now < s.said_at + CROWDED
-            if crowded or not self.within_group(lookup, s, now):
+            if busy >= max(1.0, s.limit) or now < s.rest_until or s in lookup.tried or (
+                    now < s.said_at + CROWDED and s.expects > CROWDED * lookup.workload.goal_time) or (
+                    now < s.shuns.get(lookup.workload, NEVER)[1]) or not self.within_group(lookup, s, now):
                 continue
             if now - s.started < self.charter.cold_for and s.started:
                 # Once a pick: a whole zone that is cold would otherwise be summed up again for each server.
@@ -306,8 +293,7 @@
         if warm:
             self.like_rate[zone] = sum(s.sends.read(now) for s in warm) / MEMORY / sum(s.weight for s in warm)
         elif zone not in self.like_rate:
-            everywhere = sum(s.weight for members in self.zones for s in members)
-            return self.arrivals.read(now) / MEMORY / everywhere
+            return self.arrivals.read(now) / MEMORY / sum(s.weight for zone in self.zones for s in zone)
         return self.like_rate[zone]
 
     def shoot(self, lookup, server, now):
@@ -322,6 +308,8 @@
         server.out[lookup.number, shot] = now
         self.alarm(now + self.patience(server, now))
         server.sends.add(now)
+        if lookup.workload in server.shuns:
+            self.doubt(server, lookup, now, 0)  # one that passed it by tries it with one lookup at a time
         server.grant -= lookup.cost
         self.host.shoot(lookup.number, server.index, lookup.limit_at)
 
@@ -330,9 +318,7 @@
         kind = lookup.workload
         if not lookup.traces or kind.repeat is Repeat.IDEMPOTENT:
             return True
-        if kind.repeat is Repeat.UNREPEATABLE:
-            return False
-        return all(now <= sent + kind.window - 0.05 and (
+        return kind.repeat is not Repeat.UNREPEATABLE and all(now <= sent + kind.window - 0.05 and (
             kind.group is Group.ALL or past.zone == server.zone
             and (kind.group is Group.ZONE or past.cell == server.cell))
             for past, sent in lookup.traces.values())
@@ -387,13 +373,13 @@
                 self.forget(number)
             elif not lookup.out:
                 self.follow_up(lookup, now)
-        if self.held:
-            self.release(now)
+        self.release(now)
 
     def follow_up(self, lookup, now):
         """A shot ended without an answer: up to two further ones, none under overload."""
         if lookup.shots < min(3, self.charter.most_shots) and now < lookup.goal_at and not lookup.streaming \
-                and (self.strain.read(now) < 2.0 or not lookup.traces):
+                and (self.missed.read(now) < 2.0 + 0.1 * self.met.read(now) or not lookup.traces) and any(
+                s not in lookup.tried and self.within_group(lookup, s, now) for s in sum(self.zones, [])):
             self.place(lookup, now, further=True)
         else:
             self.give_up(lookup, now)
@@ -408,6 +394,7 @@
         goal = lookup.workload.goal_time if lookup else took * 2
         if outcome is Outcome.COMPLETED:
             server.heard = now
+            server.shuns.pop(lookup and lookup.workload, None)
             server.wins.add(now)
             server.pace += 0.2 * (took - server.pace) if server.pace else took
             self.pace.add(now, took)
@@ -428,12 +415,21 @@
             server.rest_until = now + max(0.1, server.pace) / min(1.0, server.limit)
         else:
             server.fails.add(now)
+            if lookup and not outcome.never_ran:
+                self.doubt(server, lookup, now)
             if outcome is Outcome.TIMED_OUT:
                 self.cut(server, now)
             fails = server.fails.amount
             if server.trial or fails >= DOUBT * 0.95 and fails > FAILING * (fails + server.wins.read(now)):
                 self.open(server, now)
 
+    def doubt(self, server, lookup, now, failed=1):
+        """A server may fail with one workload alone, which then passes it by; the circuit is for them all."""
+        row, until, span = server.shuns.get(lookup.workload, NEVER)
+        if row + failed > 2 and now >= until:
+            until, span = now + span, min(SHUN, span * 2)
+        server.shuns[lookup.workload] = row + failed, until, span
+
     def cut(self, server, now, least=1.0):
         if now >= server.cut_at:
             # One shot from each keeps a late server late: agents that don't ask go under one before it jams.
@@ -494,11 +490,11 @@
         """Failover: away from a zone that fails, to the next that passes; none passing, stay."""
         if not self.passes(self.order[self.standing]):
             self.stand(now)
-            self.alarm(self.failback_at)
 
     def stand(self, now):
         self.standing = next((p for p, zone in enumerate(self.order) if self.passes(zone)), self.standing)
         self.failback_at = now + FAILBACK
+        self.alarm(self.failback_at)
 
     # What no event brings up
 
@@ -529,13 +525,12 @@
                     if self.charter.may_probe:
                         self.host.probe(server.index)
                 self.alarm(server.retry_at)
-        if self.held:
-            for lookup in [each for each in self.held.values() if now >= each.held_until]:
-                self.missed.add(now)
-                self.place(lookup, now, last=True)
-            self.release(now)
-            for lookup in self.held.values():
-                self.hold(lookup, now)
+        for lookup in [each for each in self.held.values() if now >= each.held_until]:
+            self.missed.add(now)
+            self.place(lookup, now, last=True)
+        self.release(now)
+        for lookup in self.held.values():
+            self.hold(lookup, now)
 
     def patience(self, server, now):
         usual = max(server.pace, self.pace.read(now) / max(self.paced.read(now), 0.1))  # slow is not silent
@@ -543,17 +538,23 @@
 
     def listen_for(self, server, now):
         """A server that has gone silent is left before its shots end."""
-        due = max(next(iter(server.out.values())), server.heard) + self.patience(server, now)
+        patience = self.patience(server, now)
+        due = max(next(iter(server.out.values())), server.heard) + patience
         if now < due:
-            return self.alarm(due)
-        server.silent = True
-        server.fails.add(now, DOUBT)
-        self.open(server, now)
-        # The lookups waiting there are taken back where another shot can do no harm.
-        for number, shot in list(server.out):
+            self.alarm(due)
+        else:
+            server.silent = True
+            server.fails.add(now, DOUBT)
+            self.open(server, now)
+        # The lookups waiting there are taken back where another shot can do no harm. So are those that others
+        # overtake: they would fill the room until their time limit, and the whole server would seem silent.
+        for (number, shot), sent in list(server.out.items()):
             lookup = self.lookups.get(number)
-            if lookup and shot in lookup.out and self.charter.may_cancel and now < lookup.goal_at \
-                    and lookup.workload.repeat is not Repeat.UNREPEATABLE and not lookup.streaming:
+            if lookup and shot in lookup.out and self.charter.may_cancel and not lookup.streaming \
+                    and lookup.workload.repeat is not Repeat.UNREPEATABLE and (
+                    now < lookup.goal_at if server.silent else
+                    server.heard > sent + patience and now > max(lookup.goal_at, sent + 2 * patience)):
+                self.doubt(server, lookup, now)
                 self.host.cancel(number, shot)
 
 
--- a/cartdeal/grant.py
+++ b/cartdeal/grant.py
@@ -33,6 +33,7 @@
             seconds(self.window),
             seconds(self.goal_time) or self.limit,
             self.importance,
+            self.name,
         )
 
 
--- a/cartdeal/terms.py
+++ b/cartdeal/terms.py
@@ -47,6 +47,7 @@
     window: float
     goal_time: float
     importance: float
+    name: str = ""      # told apart by it where all else is alike
 
 
 class Tenant(NamedTuple):
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -104,6 +104,9 @@
             self.take(lookup)
             self.wait(took)
             while lookup in self.balancer.lookups:
+                if lookup in self.balancer.held:
+                    self.wait(took)
+                    continue
                 self.end(lookup, (outcomes or {}).get(chr(self.shots[lookup][0]), Outcome.COMPLETED))
 
     def kept(self, name):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -57,6 +57,70 @@
     scene.kept("silent")
 
 
+def test_server_that_fails_with_one_workload_alone_is_passed_by_for_that_one_only():
+    scene = Scene("a0 b0")
+    scene.quiet = True
+    scene.serve(range(1, 60))
+    failed = 0
+    for number in range(60, 90):
+        at_a = scene.take(number, 3) == "a"
+        failed += at_a
+        scene.end(number, Outcome.ERROR if at_a and failed < 5 else Outcome.COMPLETED)
+        if number in scene.balancer.lookups:
+            scene.end(number)
+        if failed == 3:
+            break
+    scene.quiet = False
+    scene.say("a has failed with one workload; others go on there")
+    for number in range(100, 106):
+        scene.take(number, 3)
+        scene.end(number)
+    scene.serve(range(110, 116))
+    scene.wait(4)
+    scene.say("one at a time tries it again; once one is completed, all do")
+    for number in range(120, 126):
+        scene.take(number, 3)
+    for number in range(120, 126):
+        scene.end(number)
+    for number in range(130, 136):
+        scene.take(number, 3)
+    scene.kept("workload")
+
+
+def test_shots_that_others_overtake_are_taken_back_and_their_workload_passes_by():
+    scene = Scene("a0 e1")
+    scene.serve(range(1, 9))
+    for number in (10, 11, 9):
+        scene.take(number, 3)       # a keeps these for good
+    for number in range(12, 40):
+        if "cancel" not in "".join(scene.lines):
+            scene.serve([number], took=0.09)
+    for number in (10, 11, 9):
+        scene.end(number, Outcome.CANCELLED)
+    scene.lines = [line for line in scene.lines if "cancel" in line]
+    scene.say(f"a's circuit is closed: {scene.balancer.servers[ord('a')].closed}")
+    scene.take(50, 3)
+    scene.take(51)
+    scene.kept("overtaken")
+
+
+def test_failed_shot_is_followed_by_another_while_others_are_held_for_a_moment():
+    scene = Scene("a0 b0 e0", agents=8)
+    for number in range(1, 12):
+        scene.take(number)
+    assert scene.balancer.held and scene.balancer.strain.read(scene.now) > 2.0
+    scene.wait(0.02)
+    scene.end(1, Outcome.RESET)
+    while scene.balancer.lookups[1].shots < 2:      # room comes soon: that is no overload
+        scene.end(next(n for n, each in scene.balancer.lookups.items() if each.out))
+    for number in range(20, 60):
+        scene.take(number)
+    scene.wait(0.5)                                 # now most have found none
+    first = next(n for n, each in scene.balancer.lookups.items() if each.out)
+    scene.end(first, Outcome.RESET)
+    assert first not in scene.balancer.lookups
+
+
 def test_few_keys_move_when_a_server_leaves_and_a_busy_one_yields():
     def homes(servers):
         scene = Scene(servers)
