--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -21,12 +21,38 @@
 ENDS = 3.4          # after being told to end, when it does: one that is killed loses what it owes
 GOODBYE = 0.1       # before that, when all that is still owed is terminated
 
+LINES = 20          # log lines of one kind a second
+
 log = logging.getLogger("cartdeal.agent")
 
 
+class Sparing(logging.Filter):
+    """What a peer does at full speed must not be logged at full speed. How many were left out is told later.
+
+    Kinds are the messages in the code, so there are few of them.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.kinds: dict[tuple, list] = {}      # since when, how many lines, how many left out
+
+    def filter(self, record) -> bool:
+        kind = self.kinds.setdefault((record.name, record.msg), [0.0, 0, 0])
+        if record.created >= kind[0] + 1.0:
+            kind[:2] = record.created, 0
+        kind[1] += 1
+        if kind[1] > LINES:
+            kind[2] += 1
+            return False
+        if kind[2]:
+            record.left_out, kind[2] = kind[2], 0
+        return True
+
+
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it serves; by default it would end the agent
     handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(Sparing())
     handler.setFormatter(Logfmter(keys=["at", "level", "in"],
                                   mapping={"at": "asctime", "level": "levelname", "in": "name"}))
     logging.basicConfig(handlers=[handler], level=logging.INFO)
@@ -61,4 +87,5 @@
     return 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -164,6 +164,7 @@
     ({"seed": "xyz"}, "seed: found 'xyz', wanted a number"),
     ({"limits": {"sockets": "many"}}, "Expected `int`, got `str` - at `$.limits.sockets`"),
     ({"limits": {"sockets": 8}}, "limits.sockets: found 8, wanted 64 or more"),
+    ({"limits": {"memory_mb": 20}}, "limits.memory_mb: found 20.0, wanted 24 or more"),
     ({"settings": None}, "settings: found nothing"),
     ({"settings": {"workloads": []}}, "settings.workloads: found 0, wanted at least one"),
     ({"settings": {"workloads": [{"name": "a"}], "az": 3}}, "settings.az: found 3"),
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,4 +1,5 @@
 import json
+import logging
 import os
 import signal
 import sys
@@ -9,6 +10,7 @@
 import pytest
 from gevent import socket, subprocess
 
+from cartdeal.__main__ import LINES, Sparing
 from cartdeal.agent.connection import BODY_ROOM, Connection
 from cartdeal.agent.front import hashed
 from cartdeal.terms import Load, Outcome
@@ -252,8 +254,9 @@
 
 
 def test_long_bodies_find_no_memory_when_it_is_out(deploy):
-    deployment = deploy()
+    deployment = deploy(limits={"memory_mb": 32, "sockets": 256})
     room, body = deployment.agent.room, bytes(9000)
+    assert room.most == 224 and room.long_bodies > 20 * 3 * BODY_ROOM
     left = room.long_bodies = 30000
     waiting = deployment.connect()
     waiting.sock.sendall(worded("/mark/x?do=wait", "POST", body, Idempotency_Key="k"))
@@ -570,6 +573,16 @@
     there.stop()
 
 
+def test_lines_of_one_kind_are_bounded_and_those_left_out_are_counted():
+    sparing, passed = Sparing(), []
+    for place in range(1000):
+        record = logging.makeLogRecord({"name": "x", "msg": "refused", "created": 5.0 + place / 400})
+        if sparing.filter(record):
+            passed.append(getattr(record, "left_out", 0))
+    assert len(passed) == 3 * LINES and sum(passed) == 2 * (400 - LINES)
+    assert sparing.filter(logging.makeLogRecord({"name": "x", "msg": "ending", "created": 7.4}))
+
+
 @pytest.mark.parametrize("more, status, words", [
     ({"settings": 5}, 2, b"$.settings"), ({"listen": "192.0.2.1:80"}, 1, b"can't listen on"),
 ])
