--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -16,10 +16,11 @@
 from cartdeal.agent.connection import Unbound
 from cartdeal.agent.effects import Effects
 
-STILL_OPEN = 0.6    # after being told to end, how long connections are taken and kept
-LAST_ONES = 0.3     # and for how long after that a connection may still bring a lookup
-ENDS = 3.4          # after being told to end, when it does: one that is killed loses what it owes
-GOODBYE = 0.1       # before that, when all that is still owed is terminated
+STILL_OPEN = 0.6    # after being told to end, how long connections are taken
+ENDS = 0.4          # after the longest time limit, when it ends: one that is killed loses what it owes
+LEAVES = 0.8        # before its end, when connections begin to be closed; until then they are of use
+LAST_ONES = 0.3     # and for how long after that one may still bring a lookup
+GOODBYE = 0.1       # before its end, when all that is still owed is terminated
 
 LINES = 20          # log lines of one kind a second
 
@@ -74,14 +75,14 @@
     log.info("serving", extra={"agent": station.name, "port": agent.front.port,
                                  "servers": len(station.known.lines)})
     told_to_end.wait()
-    end_at = monotonic() + ENDS
+    end_at = monotonic() + max(kind.limit for kind in station.grant.workloads) + ENDS
     log.info("ending", extra={"owed": agent.reducer.owes})
     agent.feed("ending", end_at - GOODBYE)
     gevent.sleep(STILL_OPEN)
+    agent.front.shut()
+    agent.front.wait_empty(end_at - LEAVES)
     agent.front.end(LAST_ONES)
-    while agent.front.lines and monotonic() < end_at:
-        agent.front.changed.clear()
-        agent.front.changed.wait(max(0.0, end_at - monotonic()))
+    agent.front.wait_empty(end_at)
     gevent.sleep(0)
     log.info("ended", extra={"owed": agent.reducer.owes})
     return 0
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -85,14 +85,14 @@
         self.tenants = {each.name.encode(): place for place, each in enumerate(self.grant.tenants)}
         self.lines: set[Line] = set()
         self.strangers: dict[Line, None] = {}   # the longest here first; those refused come last
-        self.ending, self.changed = False, Event()
+        self.taking, self.ending, self.changed = True, False, Event()
         room.closers += self.close_stranger, self.close_idle
         self.listener = bound(socket.SOCK_STREAM, station.listen)
         self.listener.listen(512)
         self.port = self.listener.getsockname()[1]
 
     def accept(self):
-        while not self.ending:
+        while self.taking:
             # Without a descriptor to spare, clients wait in the listening queue until one is free.
             if len(self.strangers) * STRANGERS > self.room.most:
                 self.close_stranger()
@@ -106,7 +106,7 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except OSError as trouble:
                 self.room.give()
-                if not self.ending:
+                if self.taking:
                     log.warning("accept failed", extra={"words": str(trouble)})
                     gevent.sleep(0.05)
                 continue
@@ -263,10 +263,19 @@
             for line in [each for each in self.lines if each.overdue(now)]:
                 line.close()
 
+    def shut(self):
+        """Closes the door. Connections that are open stay so: their clients may have no other way."""
+        self.taking = False
+        self.listener.close()
+
+    def wait_empty(self, until: float):
+        while self.lines and monotonic() < until:
+            self.changed.clear()
+            self.changed.wait(max(0.0, until - monotonic()))
+
     def end(self, pause: float):
-        """Closes the door; who asks again is answered with a close, who does not is closed after a pause."""
+        """Who asks again is answered with a close, who does not is closed after a pause."""
         self.ending = True
-        self.listener.close()
         gevent.sleep(pause)     # to close at once would cross what busy clients have just sent
         for line in [each for each in self.lines if each.between()]:
             line.close()
--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -9,19 +9,17 @@
 from cartdeal.terms import Group, Outcome, Repeat, State
 
 GLANCE, SOON = 0.05, 0.002  # how often room is looked for, a probe's answer holds; the least time to a timer
-SPARE = 0.04          # time kept free before a time limit, for the answer to get out
+SPARE, SHUN = 0.04, 4.0  # kept free before a time limit for the answer; longest a workload passes a server by
 FAILBACK, MEMORY = 10.0, 6.0  # seconds between checks of zones ranked higher; over which what is seen fades
 DOUBT, FAILING = 2.0, 0.3  # failures (fading) that may open a circuit, if they are such a share of what ended
-SHUN = 4.0            # longest that a workload passes by a server that fails with it
-SHARED_LIMIT = 8.0    # in flight at a server nothing is known of, from all agents
+SHARED_LIMIT, COLD_SHARE = 8.0, 0.7  # in flight at a new server, from all agents; share of a cold ramp sent
 HALF, LEAST, CUT = 0.5, 0.25, 0.75  # limits under one mean pauses between single shots; what a cut leaves
 CALM, LATE, TOO_LATE = 0.15, 0.25, 0.6  # of the goal time: a limit grows, is cut, falls under one
 YIELD, HOLD = 1.5, 0.3  # times the mean in flight at which a server yields; share of the goal time to be held
 TROUBLE, JAMMED = 0.08, 0.3  # share missed at home: servers are asked first; no shot goes out unasked
-THIN = 20.0           # lookups (fading) a server from which on agents don't ask, twice that for reports
-TARDY = 2.0           # times the usual time to an answer at which an asked server yields
+THIN, TARDY = 20.0, 2.0  # lookups a server, twice for reports: no asking; times the usual answer: it yields
 CROWDED, SLOWED = 0.6, 8.0  # of the goal time, expected: too long; times a probe's answer that a lookup takes
-COLD_SHARE = 0.7      # share of its ramp that a cold server is sent
+ENOUGH = 0.02         # share of lookups given up unshot from which on none that may have run is shot again
 MASK, NEVER = (1 << 64) - 1, (0, 0.0, 1.0)
 
 
@@ -84,7 +82,8 @@
         self.pace, self.paced = Fading(MEMORY, now, late), Fading(MEMORY, now, 1.0)
         self.answer, self.answered = Fading(MEMORY, now), Fading(MEMORY, now)  # time to answers of probes
         self.strain = Fading(1.0, now)  # lookups that found no room lately
-        self.met, self.missed = Fading(2.0, now), Fading(2.0, now)  # held lookups, by whether room came
+        # Held lookups, by whether room came, and those given up that never were shot.
+        self.met, self.missed, self.lacked = Fading(2.0, now), Fading(2.0, now), Fading(MEMORY, now)
         self.loss = self.spill = 0.0    # shares: of lookups missed at home, of the keys that cross
         self.ends = [[Fading(MEMORY, now), Fading(MEMORY, now)] for _ in "ha"]  # all, bad: at home, away
         self.watching, self.reports = not charter.must_ask, False
@@ -302,8 +301,8 @@
         lookup.traces[shot] = (server, now)
         lookup.tried.append(server)
         lookup.asked.clear()
-        if self.held.pop(lookup.number, None) and self.order[self.standing] == server.zone:
-            self.met.add(now)
+        was_held = self.held.pop(lookup.number, None) is not None
+        self.met.add(now, was_held and self.order[self.standing] == server.zone)
         server.heard = server.heard if server.out else now
         server.out[lookup.number, shot] = now
         self.alarm(now + self.patience(server, now))
@@ -333,6 +332,7 @@
             self.host.turn_back(lookup.number, wait)
         else:
             self.host.terminate(lookup.number)
+        self.lacked.add(now, not lookup.tried)
         self.judge(lookup, True, now)
         self.forget(lookup.number)
 
@@ -377,8 +377,8 @@
 
     def follow_up(self, lookup, now):
         """A shot ended without an answer: up to two further ones, none under overload."""
-        if lookup.shots < min(3, self.charter.most_shots) and now < lookup.goal_at and not lookup.streaming \
-                and (self.missed.read(now) < 2.0 + 0.1 * self.met.read(now) or not lookup.traces) and any(
+        over = lookup.streaming or lookup.traces and self.lacked.read(now) > 2 + ENOUGH * self.arrivals.amount
+        if lookup.shots < min(3, self.charter.most_shots) and now < lookup.goal_at and not over and any(
                 s not in lookup.tried and self.within_group(lookup, s, now) for s in sum(self.zones, [])):
             self.place(lookup, now, further=True)
         else:
@@ -419,8 +419,8 @@
                 self.doubt(server, lookup, now)
             if outcome is Outcome.TIMED_OUT:
                 self.cut(server, now)
-            fails = server.fails.amount
-            if server.trial or fails >= DOUBT * 0.95 and fails > FAILING * (fails + server.wins.read(now)):
+            if server.trial or (fails := server.fails.amount) >= DOUBT * 0.95 \
+                    and fails > FAILING * (fails + server.wins.read(now)):
                 self.open(server, now)
 
     def doubt(self, server, lookup, now, failed=1):
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -180,6 +180,7 @@
 
     def stop(self):
         gevent.killall(self.agent.works)
+        self.agent.front.shut()
         self.agent.front.end(0.0)
         for each in (*self.servers, self.service):
             each.stop()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -521,10 +521,14 @@
     agent.send_signal(signal.SIGTERM)
     line_with(agent, b"msg=ending")
     assert deployment.ask() == (200, b"s0 ") == deployment.ask(connection=kept)
-    assert answered(kept) is None       # closed between lookups
+    with pytest.raises(ConnectionError):
+        while True:                     # the door is shut, but who is in may go on
+            deployment.connect().close()
+    assert deployment.ask(connection=kept) == (200, b"s0 ")
     assert agent.poll() is None         # it still owes an answer
     deployment.servers[0].released.set()
     assert answered(waiting) == (200, b"waited") and answered(waiting) is None
+    assert answered(kept) is None       # closed between lookups
     assert agent.wait() == 0
 
 
