--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -93,11 +93,11 @@
 
     def accept(self):
         while self.taking:
-            # Without a descriptor to spare, clients wait in the listening queue until one is free.
             if len(self.strangers) * STRANGERS > self.room.most:
                 self.close_stranger()
             if len(self.lines) > CLIENTS * self.room.most:
                 self.close_idle()
+            # Without a descriptor to spare, clients wait in the listening queue until one is free.
             while not self.room.take():
                 self.room.freed.clear()
                 self.room.freed.wait()
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -97,7 +97,6 @@
 class Known(NamedTuple):
     """What the list says of a server that the balancer has no use for."""
 
-    name: bytes
     address: str
     started: float
 
@@ -229,7 +228,7 @@
             self.named += 1
         index = self.indices[name]
         started = line.started / 1e3 - self.boot if line.started else 0.0
-        known = Known(name, line.address, started)
+        known = Known(line.address, started)
         if self.servers.setdefault(index, known) != known:
             self.close_idle(index)      # a kept connection to what stood there before would cost a shot
             self.servers[index] = known
