End 3.4 s after SIGTERM at the latest, and turn back what is overdue and never went out

Cause: SIGKILL comes 0.7 s after the longest time limit, of which the platform waits out 3 s at most; the agent went by the longest time limit alone (main(): max(kind.limit) + ENDS). Where limits are longer it was killed with lookups open. Ruled out: CPU (0.25 s in the busiest second), lookups forgotten by the balancer (no overdue line before the kill). Change: lasts() bounds the time by LONGEST_WAIT, a figure of the platform's protocol; msg=ending says how long (within=).

--- a/cartdeal/__main__.py
+++ b/cartdeal/__main__.py
@@ -17,7 +17,8 @@
 from cartdeal.agent.effects import Effects
 
 STILL_OPEN = 0.6    # after being told to end, how long connections are taken
-ENDS = 0.4          # after the longest time limit, when it ends: one that is killed loses what it owes
+LONGEST_WAIT = 3.0  # of the longest time limit the platform waits out so much before it kills
+ENDS = 0.4          # after that, when it ends: one that is killed loses what it owes
 LEAVES = 0.8        # before its end, when connections begin to be closed; until then they are of use
 LAST_ONES = 0.3     # and for how long after that one may still bring a lookup
 GOODBYE = 0.1       # before its end, when all that is still owed is terminated
@@ -50,6 +51,11 @@
         return True
 
 
+def lasts(grant) -> float:
+    """How long an agent that is told to end goes on: clients wait longer than the platform may."""
+    return min(LONGEST_WAIT, max(kind.limit for kind in grant.workloads)) + ENDS
+
+
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it serves; by default it would end the agent
     handler = logging.StreamHandler(sys.stderr)
@@ -75,8 +81,8 @@
     log.info("serving", extra={"agent": station.name, "port": agent.front.port,
                                  "servers": len(station.known.lines)})
     told_to_end.wait()
-    end_at = monotonic() + max(kind.limit for kind in station.grant.workloads) + ENDS
-    log.info("ending", extra={"owed": agent.reducer.owes})
+    end_at = monotonic() + lasts(station.grant)
+    log.info("ending", extra={"owed": agent.reducer.owes, "within": round(end_at - monotonic(), 3)})
     agent.feed("ending", end_at - GOODBYE)
     gevent.sleep(STILL_OPEN)
     agent.front.shut()
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -187,7 +187,8 @@
         owed = self.lookups.get(number)
         if owed and owed.asker is not None:
             self.note(f"lookup {owed.query.id.decode('latin-1')} overdue")
-            self.terminate(number)
+            # What never went out may be asked again; to terminate it would leave its client in doubt.
+            self.terminate(number) if owed.shots else self.turn_back(number, 0.0)
             self.balancer.abandoned(number)
 
     def listed(self, roll: Roll, fresh: bool = True):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -123,6 +123,14 @@
     kept("ending", desk.lines)
 
 
+def test_overdue_lookup_that_never_went_out_is_turned_back(tmp_path):
+    desk = Desk(tmp_path)
+    desk.play(0.0, "listed", Roll(4, True, ()))
+    desk.take(2, wait=6.0)
+    desk.play(0.05, "overdue", 1)
+    assert "answer line 1 503   0.00" in desk.lines[-1] and not desk.reducer.lookups
+
+
 def test_a_broken_decision_still_gets_its_lookup_answered(tmp_path):
     desk = Desk(tmp_path)
     desk.reducer.balancer.pick = None
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,9 +10,10 @@
 import pytest
 from gevent import socket, subprocess
 
-from cartdeal.__main__ import LINES, Sparing
+from cartdeal.__main__ import ENDS, LINES, LONGEST_WAIT, Sparing, lasts
 from cartdeal.agent.connection import BODY_ROOM, Connection
 from cartdeal.agent.front import hashed
+from cartdeal.grant import Grant, Kind
 from cartdeal.terms import Load, Outcome
 from examples.toy import ListService, Server, answer
 from tests.scene import GRANT, IDS, Deployment, answered, worded
@@ -606,3 +607,10 @@
     agent.send_signal(signal.SIGTERM)
     assert answered(connection) == (502, b"") and answered(connection) is None
     assert agent.wait() == 0
+
+
+@pytest.mark.parametrize("limit, wanted", [(2.0, 2.0 + ENDS), (6.0, LONGEST_WAIT + ENDS)])
+def test_a_long_time_limit_does_not_put_off_the_end_beyond_the_kill(limit, wanted):
+    kinds = Kind(time_limit=limit * 1e6), Kind(time_limit=1e6)
+    assert lasts(Grant(workloads=kinds)) == pytest.approx(wanted)
+    assert wanted < min(limit, 3.0) + 0.7
