--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -19,6 +19,7 @@
 TROUBLE, JAMMED = 0.08, 0.3  # share missed at home: servers are asked first; no shot goes out unasked
 THIN, TARDY = 20.0, 2.0  # lookups a server, twice for reports: no asking; times the usual answer: it yields
 CROWDED, SLOWED = 0.6, 8.0  # of the goal time, expected: too long; times a probe's answer that a lookup takes
+SAVED = 8.0  # one in so many lookups missed at home is saved by asking: a probe's fee must be worth that
 ENOUGH = 0.02         # share of lookups given up unshot from which on none that may have run is shot again
 MASK, NEVER = (1 << 64) - 1, (0, 0.0, 1.0)
 
@@ -236,7 +237,10 @@
     def must_ask(self, server, now):
         # Among many agents a quiet one learns of full servers too late: in trouble, or new, it asks first.
         ended, bad = self.ends[0]
-        trouble = bad.read(now) + 0.05 > TROUBLE * ended.read(now) or self.strain.read(now) > 0.1
+        bad, ended = bad.read(now) + 0.05, ended.read(now)
+        trouble = bad > TROUBLE * ended or self.strain.read(now) > 0.1
+        # A probe is work at a server: where it is dear, hundreds of agents that ask lose more than they save.
+        trouble = trouble and bad > (SAVED * self.charter.probing_fee - TROUBLE) * ended
         few = self.arrivals.read(now) < (1 + self.reports) * THIN * len(self.zones[server.zone])
         asks = trouble and few and self.charter.may_probe and self.charter.agents > len(self.servers)
         return asks and server.closed and now > server.said_at + GLANCE
--- a/cartdeal/grant.py
+++ b/cartdeal/grant.py
@@ -64,6 +64,7 @@
 
 class Fees(msgspec.Struct):
     crossing: float = field(default=0.0, name="crossZone")
+    probing: float = field(default=0.0, name="probe")
 
 
 class Reports(msgspec.Struct):
@@ -98,6 +99,7 @@
             beyond_share=self.beyond_share,
             paid_by_work=self.paid_by == "work",
             crossing_fee=self.fees.crossing,
+            probing_fee=self.fees.probing,
             most_shots=self.leave.most_shots,
             may_cancel=self.leave.may_cancel,
             may_probe=self.leave.may_probe,
--- a/cartdeal/terms.py
+++ b/cartdeal/terms.py
@@ -88,6 +88,7 @@
     beyond_share: float
     paid_by_work: bool
     crossing_fee: float
+    probing_fee: float
     most_shots: int
     may_cancel: bool
     may_probe: bool
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,3 +6,5 @@
     .venv/bin/pip -q install -r requirements.txt
     cp requirements.txt .venv/made-with
 fi
+# Started without leave to write, an agent would compile all of its own sources anew at every start.
+.venv/bin/python -m compileall -q cartdeal
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -358,3 +358,13 @@
         scene.end(lookup)
         scene.wait(2.0)
     assert scene.balancer.servers[ord("a")].limit == least
+
+
+@pytest.mark.parametrize("fee, missed, asks", [(0.01, 2, True), (0.08, 2, False), (0.08, 8, True)])
+def test_dear_probes_are_kept_for_when_much_is_missed(fee, missed, asks):
+    scene = Scene("a0 c1", agents=3, probing_fee=fee)
+    for count, each in zip((10, missed), scene.balancer.ends[0], strict=True):
+        each.add(scene.now, count)
+    scene.prompt = False
+    scene.take(1)
+    assert any("probe" in line for line in scene.lines) is asks
