Play a fleet of the real reducers in simulated time, with an independent judge of the four rules

Need: the project could not show by itself how its decisions hold at sizes and under overlapping failures that one test can't hold. cartdeal/emulator/: a world from a checked TOML file, an own event loop, servers, list service, clients, 13 kinds of fault; the agents are the real Reducer and Balancer, unchanged, and the judge sees the network alone. docs/lab.md has the options weighed, what is not modelled, measurements and a page for operators.

--- /dev/null
+++ b/cartdeal/emulator/judge.py
@@ -0,0 +1,132 @@
+"""The judge of the four rules: it sees what went over the network and what was told when, and nothing else.
+
+It must never look into an agent. Each violation names rule, lookup or server, and times.
+"""
+
+from collections import defaultdict, deque
+from typing import NamedTuple
+
+SLACK = 0.05        # after a time limit, as on sockets
+
+
+class Violation(NamedTuple):
+    rule: int
+    at: float
+    about: str
+    words: str
+
+    def __str__(self):
+        return f"rule {self.rule}, {self.at:.3f} s, {self.about}: {self.words}"
+
+
+class Case:
+    """A lookup as the network saw it."""
+
+    __slots__ = ("agent", "workload", "taken", "limit", "answers", "shots", "excused")
+
+    def __init__(self, agent, workload, taken, limit):
+        self.agent, self.workload, self.taken, self.limit = agent, workload, taken, limit
+        self.answers, self.excused = [], False
+        self.shots = {}     # number -> [server, zone, when, proved never to have run, out]
+
+
+class Judge:
+    def __init__(self, world):
+        self.world, self.violations = world, []
+        self.cases: dict[str, Case] = {}
+        self.kinds = {each.name: each for each in world.workload}
+        self.told_at = {}       # (agent, server) -> since when it may be sent nothing new
+        self.changed = {}       # server -> when the list service knew
+        self.sent = defaultdict(deque)      # cold server -> (when, work)
+        self.fallen = set()
+        self.taken = self.answered = self.excused = 0
+
+    def break_(self, rule, at, about, words):
+        self.violations.append(Violation(rule, at, about, words))
+
+    # What the network shows
+
+    def lookup_taken(self, at, agent, lookup, workload, limit):
+        self.taken += 1
+        self.cases[lookup] = Case(agent, workload, at, limit)
+
+    def lookup_answered(self, at, lookup, status):
+        case = self.cases[lookup]
+        case.answers.append((at, status))
+        if len(case.answers) > 1:
+            first, _ = case.answers[0]
+            return self.break_(1, at, lookup, f"a second answer, {status}; the first was at {first:.3f} s")
+        self.answered += 1
+        if at > case.limit + SLACK:
+            self.break_(1, at, lookup, f"answered {at - case.limit:.3f} s after its time limit")
+        kind = self.kinds[case.workload]
+        doubt = [shot for shot in case.shots.values() if not shot[3]]
+        if status in (429, 503) and doubt and (kind.repeat == "unsafe" or kind.repeat == "keyed" and (
+                kind.group != "all" or any(at > shot[2] + kind.window_s for shot in doubt))):
+            self.break_(2, at, lookup, f"turned back though a shot at {doubt[0][0]} may have run")
+
+    def shot_sent(self, at, agent, lookup, number, server, zone):
+        case = self.cases.get(lookup)
+        if case is None:
+            return self.break_(1, at, lookup, "a shot for a lookup that nobody asked")
+        if case.answers:
+            self.break_(1, at, lookup, f"a shot at {server} after its final answer")
+        kind = self.kinds[case.workload]
+        for past, there, sent, never, out in case.shots.values():
+            if never:
+                continue
+            if kind.repeat == "unsafe":
+                self.break_(2, at, lookup, f"shot at {server} though one at {past} may have run")
+            elif kind.repeat == "keyed" and (at > sent + kind.window_s
+                                             or kind.group != "all" and there != zone):
+                self.break_(2, at, lookup, f"shot at {server} out of group or window of {past}")
+            elif out:
+                self.break_(2, at, lookup, f"shot at {server} while one at {past} is out")
+            else:
+                continue
+            break
+        case.shots[number] = [server, zone, at, False, True]
+        told = min(self.told_at.get((agent, server), at),
+                   self.changed.get(server, at) + self.world.list.deemed_s)
+        if at > told + self.world.drain_grace_s:
+            self.break_(3, at, lookup, f"shot at {server}, {at - told:.3f} s after agent {agent} was told")
+
+    def shot_ended(self, lookup, number, never_ran):
+        shot = self.cases[lookup].shots.get(number)
+        if shot:
+            shot[3], shot[4] = never_ran, False
+
+    def agent_told(self, at, agent, server, ready):
+        if ready:
+            self.told_at.pop((agent, server), None)
+        else:
+            self.told_at.setdefault((agent, server), at)
+
+    def list_changed(self, at, server, ready):
+        if ready:
+            self.changed.pop(server, None)
+        else:
+            self.changed.setdefault(server, at)
+
+    def agent_died(self, agent):
+        for case in self.cases.values():
+            if case.agent == agent and not case.answers and not case.excused:
+                case.excused = True
+                self.excused += 1
+
+    def work_reached(self, at, server, work):
+        """Work that came to a cold server, whoever sent it: within any span it stays under the multiple."""
+        world, seen = self.world, self.sent[server.name]
+        seen.append((at, work))
+        while seen[0][0] < at - world.fall_s:
+            seen.popleft()
+        most = world.fall_multiple * server.capacity() * world.fall_s
+        if sum(each for _, each in seen) > most and server.name not in self.fallen:
+            self.fallen.add(server.name)
+            self.break_(4, at, server.name, f"over {most:.2f} s of work within {world.fall_s:g} s, "
+                        f"{at - server.started:.2f} s after its start")
+
+    def close(self, at):
+        for lookup, case in self.cases.items():
+            if not case.answers and not case.excused and case.limit + SLACK < at:
+                self.break_(1, at, lookup, f"no answer; its time limit was {case.limit:.3f} s")
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,219 @@
+"""The emulator against theory, against itself, and its judge against planted faults."""
+
+import os
+import subprocess
+import sys
+from collections import Counter
+from math import factorial, sqrt
+
+import pytest
+
+from cartdeal.agent.reducer import Reducer
+from cartdeal.emulator import world as worlds
+from cartdeal.emulator.clock import Clock, chance
+from cartdeal.emulator.play import Fleet
+from cartdeal.emulator.servers import Job, Server
+from cartdeal.terms import State
+
+HARD = {
+    "seconds": 14.0, "agents": 12, "clients": {"per_s": 120.0, "retries": 1, "unevenness": 1.0},
+    "workload": [
+        {"name": "read", "share": 0.5}, {"name": "mark", "repeat": "keyed", "goal_s": 1.0, "limit_s": 3.0},
+        {"name": "once", "repeat": "unsafe", "share": 0.6, "goal_s": 1.2, "limit_s": 3.0}],
+    "fault": [
+        {"kind": "resets", "begins_s": 1.0, "lasts_s": 9.0, "part": 0.5, "size": 0.2},
+        {"kind": "replace", "begins_s": 3.0, "lasts_s": 4.0, "part": 0.5},
+        {"kind": "silent", "begins_s": 6.0, "lasts_s": 3.0, "part": 0.2},
+        {"kind": "kill", "begins_s": 5.0, "part": 0.4},
+        {"kind": "list_late", "begins_s": 2.0, "lasts_s": 6.0, "size": 1.0}],
+}
+# Its limits keep the module under the usual multiple here even with no ramp, so this world allows less.
+COLD = {
+    "seconds": 12.0, "agents": 30, "zones": ["a"], "fall_multiple": 0.7, "clients": {"per_s": 120.0},
+    "servers": {"per_zone": 6, "cores": 2, "cold_from": 0.1, "cold_s": 10.0, "waiting": 60},
+    "fault": [{"kind": "replace", "begins_s": 4.0, "lasts_s": 0.5, "part": 0.5}],
+}
+
+
+def play(world, seed=5, make=Reducer, **more):
+    return Fleet(worlds.made(world), seed, make, **more).play()
+
+
+# Theory
+
+def waits(cores, load, count=60_000):
+    """Times from arrival to the start of work, at one server with Poisson arrivals and exponential work."""
+    clock, terms = Clock(), worlds.Servers(cores=cores, waiting=100_000)
+    server, random, found = Server(clock, terms, "s", 0, 1.0, chance(1, "s")), chance(3, f"{cores}"), []
+    area, last = [0.0], [0.0]
+
+    def count_held():
+        area[0] += server.held * (clock.now - last[0])
+        last[0] = clock.now
+
+    def arrive(left):
+        count_held()
+        came = clock.now
+        server.take(Job(random.expovariate(1.0), lambda status: times.append(clock.now - came),
+                        lambda: found.append(clock.now - came)))
+        if left:
+            clock.after(random.expovariate(load * cores), arrive, left - 1)
+
+    times, finish = [], server.finish
+    server.finish = lambda job, life: (count_held(), finish(job, life))
+    clock.after(0.0, arrive, count)
+    clock.run(count / (load * cores) * 2)
+    end = last[0]
+    return found, area[0] / end, len(times) / end * sum(times) / len(times)
+
+
+@pytest.mark.parametrize("cores, load", [(1, 0.5), (1, 0.8), (4, 0.7)])
+def test_waiting_times_agree_with_erlang_and_with_little(cores, load):
+    found, held, by_little = waits(cores, load)
+    offered = cores * load
+    queue = offered ** cores / factorial(cores) / (1 - load)
+    waiting = queue / (queue + sum(offered ** k / factorial(k) for k in range(cores)))
+    expected = waiting / (cores - offered)
+    batches = [sum(found[n::1][:2000]) / 2000 for n in range(0, 60_000, 2000)]     # batch means
+    mean = sum(batches) / len(batches)
+    error = sqrt(sum((each - mean) ** 2 for each in batches) / (len(batches) - 1) / len(batches))
+    assert abs(mean - expected) < 3 * error
+    assert held == pytest.approx(by_little, rel=1e-6)
+
+
+def test_lookups_in_equal_lookups_out_and_the_rules_are_kept():
+    fleet = play(HARD)
+    judge = fleet.judge
+    assert not judge.violations and judge.excused       # agents were killed with lookups open
+    assert judge.taken == judge.answered + judge.excused == fleet.count["lookups"] > 1000
+    assert fleet.count[200] + fleet.count[503] + fleet.count[502] == judge.answered
+    assert min(fleet.count[each] for each in (200, 502, 503, "crossings", "handshakes", "list calls")) > 0
+    assert not [each for each in fleet.servers.values() if each.open < 0 or each.running < 0]
+
+
+def test_same_seed_same_trace_in_another_process_with_another_hash_seed():
+    words = ("import zlib; from tests.test_emulator import *; trace = []; play(HARD, 9, trace=trace);"
+             "print(zlib.crc32(repr(trace).encode()), len(trace))")
+    said = {subprocess.run([sys.executable, "-c", words], env={**os.environ, "PYTHONHASHSEED": seed},
+                           capture_output=True, check=True).stdout for seed in ("1", "2")}
+    assert len(said) == 1 and int(said.pop().split()[1]) > 1000
+
+
+# The judge
+
+class DrainIgnored(Reducer):
+    def listing(self, line):
+        found = super().listing(line)
+        return found._replace(state=State.READY)
+
+
+class GoneIgnored(Reducer):
+    def let_go(self, name):
+        self.indices[name] = self.indices[name]
+        return self.balancer.servers and super().listing(self.lines[name])
+
+    def listing(self, line):
+        self.lines = getattr(self, "lines", {}) | {line.name.encode(): line}
+        return super().listing(line)._replace(state=State.READY)
+
+
+class ShotAgain(Reducer):
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.balancer.within_group = lambda lookup, server, now: True
+
+
+class NoRamp(Reducer):
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.balancer.granted = lambda server, lookup, now, like: True
+
+
+class TwoAnswers(Reducer):
+    def answer(self, number, status, kind, body, wait):
+        owed = self.lookups.get(number)
+        if owed and owed.asker is not None and number % 50 == 0:
+            self.asked.append(("answer", owed.asker, status, kind, body, wait))
+        super().answer(number, status, kind, body, wait)
+
+
+class Forgotten(Reducer):
+    def answer(self, number, *args):
+        if number % 50:
+            super().answer(number, *args)
+
+
+class Overdue(Reducer):
+    def taken(self, asker, query):
+        super().taken(asker, query._replace(wait=query.wait + 1.0))
+
+
+class TurnedBackInDoubt(Reducer):
+    def terminate(self, lookup):
+        self.turn_back(lookup, 0.0)
+
+
+class ShotAfterAnswer(Reducer):
+    def shot_ended(self, number, server, shot, ending, load=None):
+        owed = self.lookups.get(number)
+        super().shot_ended(number, server, shot, ending, load)
+        if owed and number % 50 == 0 and server in self.servers and number not in self.lookups:
+            self.lookups[number] = owed
+            self.shoot(number, server, 0.0)
+            del self.lookups[number]
+
+
+class BothAtOnce(Reducer):
+    def shoot(self, lookup, server, until):
+        super().shoot(lookup, server, until)
+        if self.lookups[lookup].shots == 1 and lookup % 50 == 0:
+            super().shoot(lookup, server, until)
+
+
+@pytest.mark.parametrize("breakage, world, rule", [
+    (DrainIgnored, HARD, 3), (GoneIgnored, HARD, 3), (ShotAgain, HARD, 2), (TurnedBackInDoubt, HARD, 2),
+    (BothAtOnce, HARD, 2), (TwoAnswers, HARD, 1), (Forgotten, HARD, 1), (Overdue, HARD, 1),
+    (ShotAfterAnswer, HARD, 1), (NoRamp, COLD, 4)])
+def test_judge_finds_a_planted_fault_and_names_its_rule(breakage, world, rule):
+    found = play(world, make=breakage).judge.violations
+    assert Counter(each.rule for each in found).most_common(1)[0][0] == rule
+    assert all(each.words and each.about for each in found)
+
+
+@pytest.mark.parametrize("seed", [5, 6])
+def test_cold_world_keeps_the_rules_unbroken(seed):
+    fleet = play(COLD, seed)
+    assert not fleet.judge.violations and any(each.started and each.served for each in fleet.servers.values())
+
+
+# The command
+
+def emulate(*words):
+    return subprocess.run([sys.executable, "-m", "cartdeal.emulator", *words], capture_output=True, text=True)
+
+
+@pytest.mark.parametrize("text, words", [
+    ("agents = 0", "agents"), ("agnets = 3", "agnets"), ("[servers]\ncores = 'two'", "servers.cores"),
+    ("[[fault]]\nkind = 'flood'\nbegins_s = 1", "kind"),
+    ("[[fault]]\nkind = 'zone_cut'\nbegins_s = 1", "fault[0].zone"),
+    ("[[fault]]\nkind = 'crash'\nbegins_s = 99", "fault[0].begins_s: found 99"), ("zones = []", "zones"),
+    ("[[workload]]\nname = 'x'\n[[workload]]\nname = 'x'", "workload: found"), ("agents = ", "world.toml"),
+    ("[[fault]]\nkind = 'errors'\nbegins_s = 1\nsize = 2.0", "fault[0].size")])
+def test_world_that_cannot_be_used_gets_one_line_and_status_2(tmp_path, text, words):
+    file = tmp_path / "world.toml"
+    file.write_text(text)
+    done = emulate(file)
+    assert done.returncode == 2 and not done.stdout and done.stderr.count("\n") == 1
+    assert words in done.stderr and "world.toml" in done.stderr
+
+
+def test_command_prints_figures_and_says_by_its_status_whether_rules_were_kept(tmp_path):
+    file = tmp_path / "world.toml"
+    file.write_text("seconds = 2.0\nagents = 3")
+    done = emulate(file, "--seed", "1", "--seed", "2")
+    assert done.returncode == 0 and done.stdout.count("\n") == 3 and "p99" in done.stdout
+
+
+def test_agent_starts_without_the_lab():
+    words = "import sys, cartdeal.__main__; print([name for name in sys.modules if 'emulator' in name])"
+    assert subprocess.run([sys.executable, "-c", words], capture_output=True, text=True).stdout == "[]\n"
