--- a/cartdeal/emulator/__main__.py
+++ b/cartdeal/emulator/__main__.py
@@ -17,7 +17,7 @@
 
 @click.command()
 @click.argument("file")
-@click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1")
+@click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1 if left out")
 @click.option("--trace", type=click.File("w"), help="write each answer: time, lookup, status")
 def main(file, seeds, trace):
     """Plays the world in FILE."""
--- a/cartdeal/emulator/play.py
+++ b/cartdeal/emulator/play.py
@@ -17,6 +17,7 @@
 from cartdeal.emulator.stand import Stand
 from cartdeal.emulator.world import World
 
+COUNTED = "shots", "crossings", "probes", "handshakes", "list calls"
 TAIL = 10.0         # how long after the last arrival a world goes on, so that all is answered
 RESTART = 1.0       # how long a killed agent is away
 
@@ -137,7 +138,8 @@
         workload = bisect_left(self.workloads, random.random() * self.workloads[-1])
         hot, place = random.random() < self.hot, random.random() * self.popular[-1]
         key = 0 if hot else bisect_left(self.popular, place)
-        self.offered += self.world.workload[workload].importance
+        if stand.lives:     # an application stops with its agent
+            self.offered += self.world.workload[workload].importance
         self.ask(stand, workload, key, self.clock.now, 0)
 
     def ask(self, stand, workload, key, due, repeats):
@@ -254,7 +256,7 @@
         return {
             "lookups": self.count["lookups"], "completed": self.count[200], "turned back": self.count[503],
             "terminated": self.count[502], "served": round(self.served / max(self.offered, 1e-9), 4),
-            **{each: self.count[each] for each in ("shots", "crossings", "probes", "handshakes", "list calls")},
+            **{each: self.count[each] for each in COUNTED},
             "most list calls in a second": max(self.list.calls.values(), default=0),
             "unevenness of work": round(apart / max(mean, 1e-9), 3),
             "lost with killed agents": self.judge.excused, "violations": len(self.judge.violations),
