Experiments on the emulated fleet: paired variants, intervals, tables, charts, and one command line

Need: one number on one seed says nothing. cartdeal/lab/ plays variants of a world (settings, or one of three plain policies that live here only) on the same seeds in processes, keeps a CSV that names commit, world and seeds, compares seed by seed with Student's intervals, and draws the table again without playing. cartdeal/cli.py: serve, check, emulate, lab run|compare|report; with no words the agent starts as before and imports none of it (a test).

--- /dev/null
+++ b/cartdeal/cli.py
@@ -0,0 +1,109 @@
+"""The command line: one command for each thing that the project does.
+
+`python -m cartdeal` without words starts the agent and never comes here. Each command imports what it needs
+when it runs, so that none needs what another does.
+"""
+
+import os
+import sys
+
+import click
+
+
+class Refusing(click.Group):
+    """What can't be used gets one line and status 2, whichever command met it."""
+
+    def invoke(self, context):
+        from cartdeal.emulator.world import Unusable
+        try:
+            return super().invoke(context)
+        except Unusable as trouble:
+            click.echo(str(trouble).replace("\n", " "), err=True)
+            sys.exit(2)
+
+
+@click.group(cls=Refusing)
+def main():
+    """A sidecar balancer, and the laboratory that shows how it decides."""
+
+
+@main.command()
+def serve():
+    """Run an agent, as PROXY_CONFIG says."""
+    from cartdeal.__main__ import main as serve
+    sys.exit(serve())
+
+
+@main.command()
+@click.argument("file")
+def check(file):
+    """Check an agent's configuration FILE and say at which key it is at fault."""
+    from cartdeal.agent import configuration
+    try:
+        station = configuration.read({**os.environ, "PROXY_CONFIG": file})
+    except configuration.Fault as fault:
+        click.echo(f"{file}: {fault}", err=True)
+        sys.exit(2)
+    click.echo(f"{file}: good, {station.name}, {len(station.known.lines)} servers known")
+
+
+@main.command()
+@click.argument("file")
+@click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1 if left out")
+@click.option("--trace", type=click.File("w"), help="write each answer: time, lookup, status")
+def emulate(file, seeds, trace):
+    """Play the world in FILE; exit status 1 if a rule was broken."""
+    from cartdeal.emulator.report import play
+    sys.exit(play(file, seeds, trace))
+
+
+@main.group()
+def lab():
+    """Experiments: variants of a world on the same seeds."""
+
+
+@lab.command()
+@click.argument("file")
+@click.argument("table")
+@click.option("--workers", type=click.IntRange(1, 64), default=os.cpu_count, help="processes; one a core")
+def run(file, table, workers):
+    """Play the experiment in FILE and keep its TABLE (CSV)."""
+    from cartdeal.lab import experiment
+    rows = experiment.run(file, table, workers)
+    click.echo(f"{table}: {len(rows)} rows")
+    sys.exit(any(row["violations"] for row in rows if row["variant"] == rows[0]["variant"]))
+
+
+@lab.command()
+@click.argument("table")
+@click.option("--figure", "figures", multiple=True, default=["served", "p99 ms"])
+def compare(table, figures):
+    """Print each variant of TABLE, and how it differs from the first on the same seeds."""
+    from cartdeal.lab.compare import compared
+    words, rows = columns(table, figures)
+    click.echo(words)
+    for figure in figures:
+        click.echo(f"{figure}\tmean\t+-\tdifference\t+-")
+        for name, *values in compared(rows, figure):
+            click.echo("\t".join([name, *(f"{each:.4g}" for each in values)]))
+
+
+@lab.command()
+@click.argument("table")
+@click.argument("chart")
+@click.option("--figure", "figures", multiple=True, default=["served", "p99 ms"])
+def report(table, chart, figures):
+    """Draw TABLE as CHART (.svg or .png), without playing anything."""
+    from cartdeal.lab.chart import draw
+    draw(*columns(table, figures), list(figures), chart)
+    click.echo(chart)
+
+
+def columns(table, figures):
+    from cartdeal.emulator.world import Unusable
+    from cartdeal.lab.experiment import kept
+    words, rows = kept(table)
+    for figure in figures:
+        if figure not in rows[0]:
+            raise Unusable(f"{table}: found no column {figure!r}, wanted one of {', '.join(rows[0])}")
+    return words, rows
--- a/cartdeal/emulator/__main__.py
+++ b/cartdeal/emulator/report.py
@@ -1,11 +1,9 @@
 """Plays a world from a file once for each seed, and prints one line of figures each, tab-separated.
 
 Exit status 0: the rules were kept. 1: one was broken; each violation stands on standard error. 2: the file
-can't be used, and nothing was played.
+can't be used, and nothing was played (`cli.py` says so).
 """
 
-import sys
-
 import click
 from hdrh.histogram import HdrHistogram
 
@@ -15,17 +13,8 @@
 PERCENTILES = (50, 99, 99.9)
 
 
-@click.command()
-@click.argument("file")
-@click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1 if left out")
-@click.option("--trace", type=click.File("w"), help="write each answer: time, lookup, status")
-def main(file, seeds, trace):
-    """Plays the world in FILE."""
-    try:
-        world = worlds.read(file)
-    except worlds.Unusable as trouble:
-        click.echo(str(trouble).replace("\n", " "), err=True)
-        sys.exit(2)
+def play(file, seeds, trace=None) -> int:
+    world = worlds.read(file)
     broken = False
     for place, seed in enumerate(seeds):
         fleet = Fleet(world, seed, trace=[] if trace else None).play()
@@ -38,7 +27,7 @@
             click.echo(f"seed {seed}: {violation}", err=True)
         if trace:
             trace.writelines(f"{seed} {line}\n" for line in fleet.trace)
-    sys.exit(broken)
+    return int(broken)
 
 
 def percentiles(took) -> dict:
@@ -48,6 +37,3 @@
         histogram.record_value(max(1, int(each * 1e6)))
     return {f"p{each:g} ms": round(histogram.get_value_at_percentile(each) / 1e3, 1) for each in PERCENTILES}
 
-
-if __name__ == "__main__":
-    main()
--- /dev/null
+++ b/cartdeal/lab/baselines.py
@@ -0,0 +1,50 @@
+"""Plain policies to measure against: only which server of a zone takes a shot is theirs.
+
+They live here alone. Rules that an agent owes (group, window, drains, cold ramp) are kept as the module keeps
+them, so that a comparison is of choices and not of broken rules. An agent in service must never import them.
+"""
+
+from cartdeal.agent.reducer import Reducer
+
+
+class Plain(Reducer):
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.turn = 0
+        self.balancer.pick = self.pick
+        self.balancer.must_ask = lambda server, now: False
+
+    def pick(self, members, lookup, now):
+        balancer, like, able = self.balancer, None, []
+        for server in members:
+            if server in lookup.tried or not balancer.within_group(lookup, server, now):
+                continue
+            if server.started and now - server.started < balancer.charter.cold_for:
+                like = balancer.like(server.zone, now) if like is None else like
+                if not balancer.granted(server, lookup, now, like):
+                    continue
+            able.append(server)
+        return self.choose(able) if able else None
+
+    def choose(self, able):
+        raise NotImplementedError
+
+
+class Random(Plain):
+    def choose(self, able):
+        return able[int(self.balancer.chance() * len(able))]
+
+
+class LeastInFlight(Plain):
+    def choose(self, able):
+        return min(able, key=lambda server: (len(server.out), server.hash))
+
+
+class RoundRobin(Plain):
+    def choose(self, able):
+        self.turn += 1
+        return able[self.turn % len(able)]
+
+
+POLICIES = {"cartdeal": Reducer, "random": Random, "least_in_flight": LeastInFlight,
+            "round_robin": RoundRobin}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -189,7 +189,8 @@
 # The command
 
 def emulate(*words):
-    return subprocess.run([sys.executable, "-m", "cartdeal.emulator", *words], capture_output=True, text=True)
+    words = [sys.executable, "-m", "cartdeal", "emulate", *words]
+    return subprocess.run(words, capture_output=True, text=True)
 
 
 @pytest.mark.parametrize("text, words", [
@@ -215,5 +216,8 @@
 
 
 def test_agent_starts_without_the_lab():
-    words = "import sys, cartdeal.__main__; print([name for name in sys.modules if 'emulator' in name])"
-    assert subprocess.run([sys.executable, "-c", words], capture_output=True, text=True).stdout == "[]\n"
+    words = "import sys, cartdeal.__main__; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", words], capture_output=True, text=True).stdout.split()
+    tops = {name.split(".")[0] for name in loaded}
+    assert "gevent" in tops and not tops & {"click", "hdrh", "scipy", "numpy", "matplotlib"}
+    assert not any(name.startswith(("cartdeal.emulator", "cartdeal.lab", "cartdeal.cli")) for name in loaded)
