--- a/cartdeal/lab/experiment.py
+++ b/cartdeal/lab/experiment.py
@@ -101,9 +101,10 @@
 
 def commit() -> str:
     """Of the code that is being played; `+` where it differs from it."""
-    done = subprocess.run(["git", "describe", "--always", "--dirty=+", "--exclude", "*"], capture_output=True,
-                          text=True, cwd=Path(__file__).parent)
-    return done.stdout.strip() or "unknown"
+    def git(*words):
+        here = Path(__file__).parents[1]
+        return subprocess.run(["git", *words], capture_output=True, text=True, cwd=here).stdout.strip()
+    return (git("rev-parse", "--short", "HEAD") or "unknown") + "+" * bool(git("status", "--short", "."))
 
 
 def keep(to, rows, words):
