--- a/cartdeal/cli.py
+++ b/cartdeal/cli.py
@@ -53,8 +53,27 @@
 @click.option("--trace", type=click.File("w"), help="write each answer: time, lookup, status")
 def emulate(file, seeds, trace):
     """Play the world in FILE; exit status 1 if a rule was broken."""
-    from cartdeal.emulator.report import play
-    sys.exit(play(file, seeds, trace))
+    from cartdeal.emulator import play, report, world
+    found = world.read(file)
+
+    def played(seed):
+        return play.Fleet(found, seed, trace=[] if trace else None).play()
+
+    sys.exit(report.play(played, seeds, trace))
+
+
+@main.command()
+@click.argument("file")
+@click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1 if left out")
+@click.option("--deploy", default="deploy/balancer.toml", help="the deploy file whose `run` starts an agent")
+@click.option("--run", help="the command of an agent, in place of the deploy file's")
+def rig(file, seeds, deploy, run):
+    """Play the world in FILE on sockets, with real agents; exit status 1 if a rule was broken."""
+    from cartdeal.emulator import report, world
+    from cartdeal.rig import play
+    found, run = world.read(file), run or play.command(deploy)
+    play.interruptible()
+    sys.exit(report.play(lambda seed: play.Rig(found, seed, run).play(), seeds))
 
 
 @main.group()
--- a/cartdeal/emulator/report.py
+++ b/cartdeal/emulator/report.py
@@ -1,4 +1,4 @@
-"""Plays a world from a file once for each seed, and prints one line of figures each, tab-separated.
+"""Plays a world once for each seed, and prints one line of figures each, tab-separated.
 
 Exit status 0: the rules were kept. 1: one was broken; each violation stands on standard error. 2: the file
 can't be used, and nothing was played (`cli.py` says so).
@@ -7,26 +7,23 @@
 import click
 from hdrh.histogram import HdrHistogram
 
-from cartdeal.emulator import world as worlds
-from cartdeal.emulator.play import Fleet
-
 PERCENTILES = (50, 99, 99.9)
 
 
-def play(file, seeds, trace=None) -> int:
-    world = worlds.read(file)
+def play(make, seeds, trace=None) -> int:
+    """`make` gives what has played the world on a seed, on whichever clock."""
     broken = False
     for place, seed in enumerate(seeds):
-        fleet = Fleet(world, seed, trace=[] if trace else None).play()
-        figures = {"seed": seed} | fleet.figures() | percentiles(fleet.took)
+        played = make(seed)
+        figures = {"seed": seed} | played.figures() | percentiles(played.took)
         if place == 0:
             click.echo("\t".join(figures))
         click.echo("\t".join(map(str, figures.values())))
-        for violation in fleet.judge.violations:
+        for violation in played.judge.violations:
             broken = True
             click.echo(f"seed {seed}: {violation}", err=True)
         if trace:
-            trace.writelines(f"{seed} {line}\n" for line in fleet.trace)
+            trace.writelines(f"{seed} {line}\n" for line in played.trace)
     return int(broken)
 
 
