--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -74,7 +74,7 @@
     queue = offered ** cores / factorial(cores) / (1 - load)
     waiting = queue / (queue + sum(offered ** k / factorial(k) for k in range(cores)))
     expected = waiting / (cores - offered)
-    batches = [sum(found[n::1][:2000]) / 2000 for n in range(0, 60_000, 2000)]     # batch means
+    batches = [sum(found[n:n + 2000]) / 2000 for n in range(0, 60_000, 2000)]     # batch means
     mean = sum(batches) / len(batches)
     error = sqrt(sum((each - mean) ** 2 for each in batches) / (len(batches) - 1) / len(batches))
     assert abs(mean - expected) < 3 * error
