--- a/cartdeal/cli.py
+++ b/cartdeal/cli.py
@@ -51,10 +51,20 @@
 @click.argument("file")
 @click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1 if left out")
 @click.option("--trace", type=click.File("w"), help="write each answer: time, lookup, status")
-def emulate(file, seeds, trace):
+@click.option("--cut", is_flag=True, help="cut the first run down to what its first violation needs")
+def emulate(file, seeds, trace, cut):
     """Play the world in FILE; exit status 1 if a rule was broken."""
     from cartdeal.emulator import play, report, world
     found = world.read(file)
+    if cut:
+        from cartdeal.emulator.cut import cut_down
+        left = cut_down(found, seeds[0])
+        if left is None:
+            return click.echo(f"seed {seeds[0]}: no rule was broken")
+        click.echo(f"{left.violation}\nneeds {len(left.arrivals)} arrivals (agent, which): {left.arrivals}")
+        for fault in left.world.fault:
+            click.echo(f"needs {fault.kind} at {fault.begins_s:g} s")
+        sys.exit(1)
 
     def played(seed):
         return play.Fleet(found, seed, trace=[] if trace else None).play()
--- a/cartdeal/emulator/play.py
+++ b/cartdeal/emulator/play.py
@@ -75,9 +75,10 @@
 
 
 class Fleet:
-    def __init__(self, world: World, seed: int, make=Reducer, trace=None):
+    def __init__(self, world: World, seed: int, make=Reducer, trace=None, only=None):
         self.world, self.seed, self.clock, self.trace = world, seed, Clock(), trace
         self.judge, self.count = Judge(world), Counter()
+        self.arrivals, self.only = [], only     # (agent, which of its arrivals); all, or these alone
         self.random, self.works = chance(seed, "network"), chance(seed, "work")
         self.cut = set()            # zones cut off from the others
         self.hot = 0.0
@@ -138,6 +139,11 @@
         workload = bisect_left(self.workloads, random.random() * self.workloads[-1])
         hot, place = random.random() < self.hot, random.random() * self.popular[-1]
         key = 0 if hot else bisect_left(self.popular, place)
+        stand.came += 1
+        arrival = stand.number, stand.came
+        self.arrivals.append(arrival)
+        if self.only is not None and arrival not in self.only:
+            return
         if stand.lives:     # an application stops with its agent
             self.offered += self.world.workload[workload].importance
         self.ask(stand, workload, key, self.clock.now, 0)
--- a/cartdeal/emulator/stand.py
+++ b/cartdeal/emulator/stand.py
@@ -26,7 +26,7 @@
 class Stand:
     def __init__(self, fleet, number, zone, make=Reducer):
         self.fleet, self.clock, self.number, self.zone = fleet, fleet.clock, number, zone
-        self.make, self.life, self.lives = make, 0, False
+        self.make, self.life, self.lives, self.came = make, 0, False, 0     # came: arrivals so far
         self.known = Roll()
         self.watching = False
         self.shots, self.idle, self.lookups = {}, {}, {}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -11,6 +11,7 @@
 from cartdeal.agent.reducer import Reducer
 from cartdeal.emulator import world as worlds
 from cartdeal.emulator.clock import Clock, chance
+from cartdeal.emulator.cut import cut_down
 from cartdeal.emulator.play import Fleet
 from cartdeal.emulator.servers import Job, Server
 from cartdeal.terms import State
@@ -180,6 +181,15 @@
     assert all(each.words and each.about for each in found)
 
 
+def test_a_run_is_cut_down_to_what_its_violation_needs():
+    left = cut_down(worlds.made(HARD), 5, DrainIgnored)
+    assert left.violation.rule == 3 and len(left.arrivals) <= 3
+    assert [each.kind for each in left.world.fault] == ["replace"]
+    again = Fleet(left.world, 5, DrainIgnored, only=set(left.arrivals)).play().judge.violations
+    assert left.violation in again
+    assert cut_down(worlds.made(HARD), 5) is None
+
+
 @pytest.mark.parametrize("seed", [5, 6])
 def test_cold_world_keeps_the_rules_unbroken(seed):
     fleet = play(COLD, seed)
