--- a/cartdeal/cli.py
+++ b/cartdeal/cli.py
@@ -5,11 +5,18 @@
 """
 
 import os
+import signal
 import sys
 
 import click
 
 
+def interruptible():
+    """What started processes ends them when it is told to end, also where a script left SIGINT ignored."""
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
+
+
 class Refusing(click.Group):
     """What can't be used gets one line and status 2, whichever command met it."""
 
@@ -82,7 +89,7 @@
     from cartdeal.emulator import report, world
     from cartdeal.rig import play
     found, run = world.read(file), run or play.command(deploy)
-    play.interruptible()
+    interruptible()
     sys.exit(report.play(lambda seed: play.Rig(found, seed, run).play(), seeds))
 
 
@@ -98,6 +105,7 @@
 def run(file, table, workers):
     """Play the experiment in FILE and keep its TABLE (CSV)."""
     from cartdeal.lab import experiment
+    interruptible()
     rows = experiment.run(file, table, workers)
     click.echo(f"{table}: {len(rows)} rows")
     sys.exit(any(row["violations"] for row in rows if row["variant"] == rows[0]["variant"]))
--- a/cartdeal/rig/play.py
+++ b/cartdeal/rig/play.py
@@ -322,10 +322,3 @@
             "terminated": self.count[502], "served": round(self.served / max(self.offered, 1e-9), 4),
             **{each: self.count[each] for each in COUNTED},
             "lost with killed agents": self.judge.excused, "violations": len(self.judge.violations)}
-
-
-def interruptible():
-    """An interrupted rig runs its `finally`, and so ends its agents."""
-    def stop(number, frame):
-        raise KeyboardInterrupt
-    signal.signal(signal.SIGTERM, stop)
