One warm-up for emulator and rig, and no note of lookups that nobody reads

Found on reading the change again: the stand-in server of the rig had the emulated server's warm-up a second time; both call warmth() now. Stand.lookups was written and never read.

--- a/cartdeal/emulator/servers.py
+++ b/cartdeal/emulator/servers.py
@@ -6,6 +6,12 @@
 from collections import deque
 
 
+def warmth(terms, started, now) -> float:
+    """Share of its capacity that a server has; one that started long ago (0) has all."""
+    age = (now - started) / terms.cold_s
+    return min(1.0, terms.cold_from + (1 - terms.cold_from) * age) if started else 1.0
+
+
 class Job:
     """Work at a server; `done` is called with a status once, `began` when it starts to run."""
 
@@ -28,10 +34,7 @@
         self.busy, self.served, self.turned_away, self.handshakes, self.probes = 0.0, 0, 0, 0, 0
 
     def warmth(self) -> float:
-        if not self.started:
-            return 1.0
-        age = (self.clock.now - self.started) / self.terms.cold_s
-        return min(1.0, self.terms.cold_from + (1 - self.terms.cold_from) * age)
+        return warmth(self.terms, self.started, self.clock.now)
 
     def capacity(self) -> float:
         """Seconds of work that it does in a second."""
--- a/cartdeal/emulator/stand.py
+++ b/cartdeal/emulator/stand.py
@@ -29,14 +29,14 @@
         self.make, self.life, self.lives, self.came = make, 0, False, 0     # came: arrivals so far
         self.known = Roll()
         self.watching = False
-        self.shots, self.idle, self.lookups = {}, {}, {}
+        self.shots, self.idle = {}, {}
 
     # Its life
 
     def start(self):
         world = self.fleet.world
         self.life, self.lives, self.watching = self.life + 1, True, False
-        self.shots, self.idle, self.lookups = {}, {}, {}
+        self.shots, self.idle = {}, {}
         grant = convert(settings(world, self.number, self.zone), Grant)
         seed = self.fleet.seed * 1000003 + self.number * 101 + self.life
         station = Station("", ("", 0), ("", 0), seed, Limits(), None, (), None, self.known, grant)
@@ -72,7 +72,7 @@
     # What the reducer asks for
 
     def begun(self, lookup, number):
-        self.lookups[number] = lookup
+        pass    # the fleet knows a lookup by its id
 
     def refuse(self, lookup, status, words):
         self.fleet.answered(lookup, status, 0.0)
--- a/cartdeal/rig/stands.py
+++ b/cartdeal/rig/stands.py
@@ -14,6 +14,7 @@
 
 from cartdeal.agent.connection import Connection, Malformed
 from cartdeal.emulator.clock import chance
+from cartdeal.emulator.servers import warmth
 
 HOST = "127.0.0.1"
 RESET = struct.pack("ii", 1, 0)
@@ -88,10 +89,7 @@
         super().__init__()
 
     def warmth(self) -> float:
-        if not self.started:
-            return 1.0
-        age = (self.rig.now - self.started) / self.terms.cold_s
-        return min(1.0, self.terms.cold_from + (1 - self.terms.cold_from) * age)
+        return warmth(self.terms, self.started, self.rig.now)
 
     def capacity(self) -> float:
         return self.terms.cores * self.warmth() / self.slow
