Seal what agents of a fleet say to each other, and bound its size

Each message carries version, fleet, sender, life and address under one HMAC-SHA256 of 16 bytes; what is refused is a typed error that tells an operator what to do.

--- /dev/null
+++ b/cartdeal/fleet/wire.py
@@ -0,0 +1,115 @@
+"""What agents of a fleet say to each other, as bytes: the envelope, its digest, and the frames of a stream.
+
+Owns the sizes and the order of the checks. It must never let words through whose digest is not right, nor
+keep anything of what it refused; every refusal is an error of errors.py.
+"""
+
+import hmac
+from functools import cache
+from importlib import import_module
+from typing import Annotated, Union
+
+import msgspec
+from msgspec import Meta, Struct
+
+from cartdeal.fleet.errors import TooLong, Unreadable, WrongDigest, WrongFleet, WrongVersion
+
+VERSION = 1         # of the envelope; what words are in it, their tags say
+SEAL = 16           # bytes of the digest that are sent
+LONGEST_DATAGRAM = 1400     # fits one packet on common networks
+LONGEST_FRAME = 512 * 1024
+HEADER = 4          # bytes of a frame's length
+PARTS = ("members", "epochs", "replica", "lending", "node")
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+
+
+class Envelope(Struct, frozen=True, array_like=True):
+    fleet: Name
+    sender: Name
+    life: Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
+    address: Annotated[str, Meta(max_length=64)]
+    words: msgspec.Raw      # not looked into before the digest is known to be right
+
+
+ENVELOPES = msgspec.msgpack.Decoder(Envelope)
+UNREADABLE = (msgspec.MsgspecError, UnicodeError, ValueError, OverflowError, RecursionError)
+
+
+@cache
+def tongue() -> msgspec.msgpack.Decoder:
+    """Reads the words of all parts; made at the first message, so that a part may import this module."""
+    kinds = [kind for part in PARTS for kind in getattr(import_module(f"cartdeal.fleet.{part}"), "WORDS", ())]
+    return msgspec.msgpack.Decoder(Union[tuple(kinds)])     # noqa: UP007
+
+
+def encode(pact, sender: str, life: int, words: Struct, address: str | None = None) -> bytes:
+    """One message: version, digest, envelope. Raises TooLong."""
+    raw = msgspec.Raw(msgspec.msgpack.encode(words))
+    body = msgspec.msgpack.encode(
+        Envelope(pact.fleet, sender, life, pact.address if address is None else address, raw))
+    text = bytes([VERSION]) + seal(pact.key, body) + body
+    most = LONGEST_DATAGRAM if words.DATAGRAM else LONGEST_FRAME
+    if len(text) > most:
+        raise TooLong(f"words {type(words).__name__}", f"{len(text)} bytes, {most} at most")
+    return text
+
+
+def decode(pact, text: bytes, most: int = LONGEST_FRAME) -> tuple[str, int, str, Struct]:
+    """Sender, its life, its address and the words. What is said of the fleet's name and version is a hint to
+    an operator and no more: it is told before the digest shows that it was not forged."""
+    if len(text) > most:
+        raise TooLong("a message", f"{len(text)} bytes, {most} at most")
+    if len(text) <= 1 + SEAL:
+        raise Unreadable("a message", f"{len(text)} bytes")
+    if text[0] != VERSION:
+        raise WrongVersion("a message's envelope", text[0])
+    body = text[1 + SEAL:]
+    try:
+        envelope = ENVELOPES.decode(body)
+    except UNREADABLE as trouble:
+        raise Unreadable("a message's envelope", trouble) from None
+    if envelope.fleet != pact.fleet:
+        raise WrongFleet("a message's fleet", envelope.fleet)
+    if not hmac.compare_digest(seal(pact.key, body), text[1:1 + SEAL]):
+        raise WrongDigest(f"a message under the name {envelope.sender!r}", "another digest")
+    try:
+        words = tongue().decode(envelope.words)
+    except UNREADABLE as trouble:
+        raise Unreadable(f"words of {envelope.sender!r}", trouble) from None
+    return envelope.sender, envelope.life, envelope.address, words
+
+
+def seal(key: bytes, body: bytes) -> bytes:
+    return hmac.digest(key, bytes([VERSION]) + body, "sha256")[:SEAL]
+
+
+def framed(text: bytes) -> bytes:
+    return len(text).to_bytes(HEADER, "big") + text
+
+
+class Frames:
+    """Takes a stream in any split and gives the whole messages in it. After an error it takes no more."""
+
+    def __init__(self, most: int = LONGEST_FRAME):
+        self.most, self.rest, self.spoilt = most, bytearray(), False
+
+    def feed(self, more: bytes) -> list[bytes]:
+        """Raises TooLong or Unreadable; the messages that came whole before the fault go with it."""
+        if self.spoilt:
+            raise Unreadable("a stream", "more behind a fault")
+        rest, whole, at = self.rest, [], 0
+        rest += more
+        while len(rest) - at >= HEADER:
+            size = int.from_bytes(rest[at:at + HEADER], "big")
+            if not size or size > self.most:
+                self.spoilt, self.rest = True, bytearray()
+                if not size:
+                    raise Unreadable("a frame", "0 bytes")
+                raise TooLong("a frame", f"{size} bytes, {self.most} at most")
+            if len(rest) - at < HEADER + size:
+                break
+            whole.append(bytes(rest[at + HEADER:at + HEADER + size]))
+            at += HEADER + size
+        del rest[:at]
+        return whole
