--- a/cartdeal/fleet/wire.py
+++ b/cartdeal/fleet/wire.py
@@ -29,6 +29,7 @@
     sender: Name
     life: Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
     address: Annotated[str, Meta(max_length=64)]
+    wall_ms: Annotated[int, Meta(ge=0, le=(1 << 53))]   # the sender's time of the fleet
     words: msgspec.Raw      # not looked into before the digest is known to be right
 
 
@@ -43,11 +44,10 @@
     return msgspec.msgpack.Decoder(Union[tuple(kinds)])     # noqa: UP007
 
 
-def encode(pact, sender: str, life: int, words: Struct, address: str | None = None) -> bytes:
+def encode(pact, sender: str, life: int, address: str, wall_ms: int, words: Struct) -> bytes:
     """One message: version, digest, envelope. Raises TooLong."""
     raw = msgspec.Raw(msgspec.msgpack.encode(words))
-    body = msgspec.msgpack.encode(
-        Envelope(pact.fleet, sender, life, pact.address if address is None else address, raw))
+    body = msgspec.msgpack.encode(Envelope(pact.fleet, sender, life, address, wall_ms, raw))
     text = bytes([VERSION]) + seal(pact.key, body) + body
     most = LONGEST_DATAGRAM if words.DATAGRAM else LONGEST_FRAME
     if len(text) > most:
@@ -55,9 +55,9 @@
     return text
 
 
-def decode(pact, text: bytes, most: int = LONGEST_FRAME) -> tuple[str, int, str, Struct]:
-    """Sender, its life, its address and the words. What is said of the fleet's name and version is a hint to
-    an operator and no more: it is told before the digest shows that it was not forged."""
+def decode(pact, text: bytes, most: int = LONGEST_FRAME) -> tuple[str, int, str, int, Struct]:
+    """Sender, its life, address and time, and the words. What is said of the fleet's name and version is a
+    hint to an operator and no more: it is told before the digest shows that it was not forged."""
     if len(text) > most:
         raise TooLong("a message", f"{len(text)} bytes, {most} at most")
     if len(text) <= 1 + SEAL:
@@ -77,7 +77,7 @@
         words = tongue().decode(envelope.words)
     except UNREADABLE as trouble:
         raise Unreadable(f"words of {envelope.sender!r}", trouble) from None
-    return envelope.sender, envelope.life, envelope.address, words
+    return envelope.sender, envelope.life, envelope.address, envelope.wall_ms, words
 
 
 def seal(key: bytes, body: bytes) -> bytes:
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -37,23 +37,23 @@
 
 
 def test_words_come_back_with_who_said_them():
-    text = wire.encode(PACT, "a", 5 << 56, Hail("x", 3))
-    assert wire.decode(PACT, text) == ("a", 5 << 56, "127.0.0.1:7", Hail("x", 3))
+    text = wire.encode(PACT, "a", 5 << 56, "127.0.0.1:7", 9, Hail("x", 3))
+    assert wire.decode(PACT, text) == ("a", 5 << 56, "127.0.0.1:7", 9, Hail("x", 3))
 
 
 @pytest.mark.parametrize("text, kind", [
-    (wire.encode(msgspec.structs.replace(PACT, fleet="g"), "a", 1, Hail("x")), errors.WrongFleet),
-    (wire.encode(msgspec.structs.replace(PACT, key=b"l" * 32), "a", 1, Hail("x")), errors.WrongDigest),
-    (b"\x02" + wire.encode(PACT, "a", 1, Hail("x"))[1:], errors.WrongVersion),
-    (wire.encode(PACT, "a", 1, Hail("x"))[:-1], errors.Unreadable),
+    (wire.encode(msgspec.structs.replace(PACT, fleet="g"), "a", 1, "", 9, Hail("x")), errors.WrongFleet),
+    (wire.encode(msgspec.structs.replace(PACT, key=b"l" * 32), "a", 1, "", 9, Hail("x")), errors.WrongDigest),
+    (b"\x02" + wire.encode(PACT, "a", 1, "", 9, Hail("x"))[1:], errors.WrongVersion),
+    (wire.encode(PACT, "a", 1, "", 9, Hail("x"))[:-1], errors.Unreadable),
     (bytes(wire.LONGEST_FRAME + 1), errors.TooLong),
-    (sealed(msgspec.msgpack.encode(["f", "a", 1, "", ["t.none", 1]])), errors.Unreadable),
-    (sealed(msgspec.msgpack.encode(["f", "a", 1, "", ["t.hail", 7]])), errors.Unreadable),
-    (sealed(msgspec.msgpack.encode(["f", "", 1, "", ["t.hail", "x"]])), errors.Unreadable),
-    (sealed(msgspec.msgpack.encode(["f", "a", -1, "", ["t.hail", "x"]])), errors.Unreadable),
-    (sealed(b"\x95\xa1f\xa1a\x01\xa0" + b"\x91" * 100000 + b"\x90"), errors.Unreadable),    # too deep
-    (sealed(b"\x95\xa1f\xa1a\x01\xa0\x93\xa6t.load\xc4\x00\xdd\xff\xff\xff\xff"), errors.Unreadable),
-    (sealed(b"\x95\xa1f\xa1a\x01\xa0\xdd\xff\xff\xff\xff\xa6t.load"), errors.Unreadable),
+    (sealed(msgspec.msgpack.encode(["f", "a", 1, "", 9, ["t.none", 1]])), errors.Unreadable),
+    (sealed(msgspec.msgpack.encode(["f", "a", 1, "", 9, ["t.hail", 7]])), errors.Unreadable),
+    (sealed(msgspec.msgpack.encode(["f", "", 1, "", 9, ["t.hail", "x"]])), errors.Unreadable),
+    (sealed(msgspec.msgpack.encode(["f", "a", -1, "", 9, ["t.hail", "x"]])), errors.Unreadable),
+    (sealed(b"\x96\xa1f\xa1a\x01\xa0\x09" + b"\x91" * 100000 + b"\x90"), errors.Unreadable),    # too deep
+    (sealed(b"\x96\xa1f\xa1a\x01\xa0\x09\x93\xa6t.load\xc4\x00\xdd\xff\xff\xff\xff"), errors.Unreadable),
+    (sealed(b"\x96\xa1f\xa1a\x01\xa0\x09\xdd\xff\xff\xff\xff\xa6t.load"), errors.Unreadable),
 ], ids=range(12))
 def test_each_refusal_is_a_type_of_its_own(text, kind):
     with pytest.raises(kind) as trouble:
@@ -63,15 +63,15 @@
 
 def test_words_too_long_are_not_sent():
     with pytest.raises(errors.TooLong):
-        wire.encode(PACT, "a", 1, Hail("x" * wire.LONGEST_DATAGRAM))
+        wire.encode(PACT, "a", 1, "", 9, Hail("x" * wire.LONGEST_DATAGRAM))
     with pytest.raises(errors.TooLong):
-        wire.encode(PACT, "a", 1, Load(bytes(wire.LONGEST_FRAME)))
+        wire.encode(PACT, "a", 1, "", 9, Load(bytes(wire.LONGEST_FRAME)))
 
 
 @settings(max_examples=300, deadline=None)
 @given(st.data())
 def test_whatever_is_changed_on_the_way_is_refused_by_type(data):
-    text = bytearray(wire.encode(PACT, "a", 1, Load(b"xyz", (("a",), ("b", "c")))))
+    text = bytearray(wire.encode(PACT, "a", 1, "", 9, Load(b"xyz", (("a",), ("b", "c")))))
     for _ in range(data.draw(st.integers(1, 3))):
         place = data.draw(st.integers(0, len(text) - 1))
         kind = data.draw(st.sampled_from(["set", "cut", "more"]))
@@ -83,7 +83,7 @@
             text += data.draw(st.binary(min_size=1, max_size=9))
         if not text:
             return
-    if bytes(text) != wire.encode(PACT, "a", 1, Load(b"xyz", (("a",), ("b", "c")))):
+    if bytes(text) != wire.encode(PACT, "a", 1, "", 9, Load(b"xyz", (("a",), ("b", "c")))):
         with pytest.raises(REFUSALS):
             wire.decode(PACT, bytes(text))
 
@@ -91,7 +91,7 @@
 @settings(max_examples=300, deadline=None)
 @given(st.binary(max_size=200))
 def test_a_peer_that_has_the_key_can_say_nothing_that_ends_in_another_error(body):
-    for text in (body, sealed(body), sealed(b"\x95\xa1f\xa1a\x01\xa0" + body)):
+    for text in (body, sealed(body), sealed(b"\x96\xa1f\xa1a\x01\xa0\x09" + body)):
         try:
             wire.decode(PACT, text)
         except REFUSALS:
