--- a/cartdeal/fleet/errors.py
+++ b/cartdeal/fleet/errors.py
@@ -1,11 +1,12 @@
-"""The fleet's errors: each a type of its own that says what is at fault, what was found and what an operator can do.
+"""The fleet's errors: each a type of its own that says what is at fault, what was found and what to do.
 
-It must never be raised bare, and never carries a payload: what it says may be logged.
+It must never be raised bare, and never carries a payload: what it says may be logged. `ALL` is the table that
+docs/fleet.md is checked against: every type below, in the order in which they stand. New ones go to the end.
 """
 
 
 class Trouble(Exception):
-    """`what`: whose fault it is (a key, an agent, a message); `found`: what was there; `do`: what an operator can do."""
+    """`what`: whose fault it is (a key, an agent, a message); `found`: what was there; `do`: an operator's remedy."""
 
     do = ""
 
@@ -14,43 +15,39 @@
         super().__init__(f"{what}: found {self.found!r}; {self.do}")
 
 
+def __getattr__(name: str):
+    # Made when asked for, so that a type added below is never missed.
+    if name == "ALL":
+        types = [each for each in globals().values() if isinstance(each, type) and issubclass(each, Trouble)]
+        return tuple(dict.fromkeys(each for each in types if each is not Trouble))
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+
+
 class ClockAhead(Trouble):
     """A peer's clock is further ahead than allowed: what it stamped is refused."""
 
     do = "set that agent's clock, or raise clock_ahead_s in every agent's file"
 
 
-class WrongFleet(Trouble):
-    """A message of another fleet: its words are not read."""
-
-    do = "look which agent's seeds or address name this one, or give both the same `fleet`"
-
-
-class WrongDigest(Trouble):
-    """A message whose digest is not the one that this fleet's key makes of it."""
-
-    do = "give all agents of the fleet the same key; if they have it, somebody else sends here"
-
-
-class WrongVersion(Trouble):
-    """A message in an envelope that this program does not know."""
+class BadRecord(Trouble):
+    """Bytes that should be a record are none, or a field has a wrong type or range: they are dropped."""
 
-    do = "bring this agent or the other one up to a program that speaks the same envelope"
+    do = "look at the agent that sent it (its version and memory); a good copy is fetched from another owner"
 
 
-class TooLong(Trouble):
-    """Words beyond the size that a message may have: not sent, or not read."""
+class RecordTooLarge(Trouble):
+    """A record has more bytes, marks or unknown fields than any agent would read: it isn't written."""
 
-    do = "tell the maintainers; what was said is lost, and is said again or made good later"
+    do = "lower longest_mark_s or most_marks_a_session; if one session does all this, look at its client"
 
 
-class Unreadable(Trouble):
-    """Bytes that are no message, or no words that this program knows."""
+class SchemaNarrowed(Trouble):
+    """A step back to an older schema was asked for after the fleet had begun to write the newer alone."""
 
-    do = "look which program sends them; in a rolling upgrade it ends with the upgrade"
+    do = "keep the newer program and set hold_version to 0; to go back, end the whole fleet and found it anew"
 
 
-class WrongPapers(Trouble):
-    """A key of the fleet's operator file can't be used: `what` names the file and the key."""
+class SchemaRefused(Trouble):
+    """An agent can't read what the fleet writes: it gets no seat; marks that it still held are taken over."""
 
-    do = "correct the file"
+    do = "start that agent with a program that reads the version that the fleet writes"
--- /dev/null
+++ b/cartdeal/fleet/records.py
@@ -0,0 +1,272 @@
+"""The kinds of record that the fleet shares, and how two copies of one become one: state-based CRDTs
+(Shapiro and others, 2011).
+
+It owns what a mark and a count of use mean in memory, whatever version they were written by. It must never depend
+on the order, the grouping or the number of arrivals: `merge` is commutative, associative and idempotent, and what it
+drops depends on the merged state alone.
+
+Fields that a program doesn't know are kept and merged by one rule for ever (`join`): maps by key, anything else the
+greater by `rank`. A later version that adds a field must live with it: that's how old agents merge that field.
+"""
+
+from enum import IntEnum
+from hashlib import blake2b
+from math import copysign
+
+import msgspec
+from msgspec import Struct
+from msgspec.structs import force_setattr, replace
+
+from cartdeal.fleet.errors import BadRecord, ClockAhead
+
+MOST_PLACES = 32            # of one mark; with more, ELSEWHERE says that the rest is forgotten
+ELSEWHERE = ("*", -1)       # it may have been at any place
+KEPT_PERIODS = 120          # of a tenant's use; older ones than the newest by so many are dropped
+MOST_COUNTS = 4096          # of a tenant's use; the newest are kept
+MOST_PARTS = 1024           # of a tenant's limit; those that last longest are kept
+MOST_UNKNOWN = 32 * 1024    # bytes of unknown fields in a record; more makes it full
+GROUPS = ("all", "zone", "cell")        # from the widest to the narrowest
+
+# Fields of a session that say again, in another form, what its marks say. Version 1 has reserved these names: old
+# agents, which can't read them, leave them out of digests, and take one copy whole instead of growing them.
+AGAIN = ("by",)
+
+encoder = msgspec.msgpack.Encoder(order="deterministic")
+
+
+class Certainty(IntEnum):
+    """What is known of a lookup that a mark stands for; it is only ever gained."""
+
+    CLAIMED = 0         # may be sent at any moment
+    SENT = 1            # may have run
+    NEVER_RAN = 2       # surely not run; one that shoots again takes a new mark
+    ANSWERED = 3
+
+
+class Mark(Struct, frozen=True):
+    """One lookup of a session. Only one agent writes it (`by`: "name/life/number"); copies may be of any age."""
+
+    by: str
+    key: str
+    repeat: str                                 # "d": deduplicated, "u": unrepeatable
+    group: str                                  # where servers deduplicate together: one of GROUPS
+    window_ms: int                              # how long they do
+    places: tuple[tuple[str, int], ...] = ()    # (zone, cell) of each shot, sorted
+    certainty: int = Certainty.CLAIMED
+    sent_ms: int = 0                            # wall clock
+    until_ms: int = 0                           # wall clock; the mark goes then
+    workload: str = ""
+    extra: dict = {}                            # unknown fields
+
+    def __post_init__(self):
+        places = _places(self.places)
+        if places != self.places:
+            force_setattr(self, "places", places)
+
+    def fields(self) -> dict:
+        """The form that versions write and digests are made of."""
+        own = {name: getattr(self, name) for name in self.__struct_fields__ if name != "extra"}
+        return {**self.extra, **own, "certainty": int(self.certainty)}
+
+
+class Session(Struct):
+    """Where a session's lookups went. `beyond`: what version it takes to read all of it, if this program can't."""
+
+    marks: dict[str, Mark] = {}     # by -> mark
+    extra: dict = {}                # unknown fields
+    beyond: int = 0
+
+    def open_marks(self, key: str, wall_ms: int, slack_ms: int = 0) -> tuple[Mark, ...]:
+        """The marks of a lookup that still bind a repeat: not over by the slowest clock, and may have run."""
+        return tuple(mark for _, mark in sorted(self.marks.items()) if mark.key == key
+                     and mark.certainty != Certainty.NEVER_RAN and mark.until_ms + slack_ms > wall_ms)
+
+    def full(self, most_marks: int) -> bool:
+        """Whether it can take no further mark; merging takes all the same, so that no copy loses one."""
+        return len(self.marks) >= most_marks or _heavy(self.extra)
+
+
+class Use(Struct):
+    """What a tenant was served, by whom and when, and the parts of its limit that are lent."""
+
+    counts: dict[tuple[str, int, int], int] = {}            # (agent, life, period) -> served; single writers
+    parts: dict[str, tuple[int, float, float]] = {}         # holder -> (until period, rate, burst)
+    extra: dict = {}
+    beyond: int = 0
+
+    def full(self, most_marks: int = 0) -> bool:
+        return _heavy(self.extra)
+
+    def served(self, period: int) -> int:
+        return sum(each for (_, _, when), each in self.counts.items() if when == period)
+
+
+KINDS = {"s": Session, "u": Use}
+Record = Session | Use
+
+
+def kind_of(record: Record) -> str:
+    return "s" if isinstance(record, Session) else "u"
+
+
+def session_key(sid: str) -> str:
+    return "s/" + blake2b(sid.encode("utf-8", "surrogateescape"), digest_size=16).hexdigest()
+
+
+def use_key(tenant: str) -> str:
+    return "u/" + tenant
+
+
+def merge(a: Record, b: Record) -> Record:
+    """All that either knows. Raises BadRecord when they're of two kinds. Neither is changed."""
+    if type(a) is not type(b):
+        raise BadRecord("two copies of one record", f"{type(a).__name__} and {type(b).__name__}")
+    beyond = max(a.beyond, b.beyond)
+    if isinstance(a, Session):
+        marks = dict(a.marks)
+        for by, mark in b.marks.items():
+            marks[by] = merge_marks(marks[by], mark) if by in marks else mark
+        return Session(marks, _merge_extra(a.extra, b.extra, AGAIN), beyond)
+    counts = dict(a.counts)
+    for which, served in b.counts.items():
+        counts[which] = max(served, counts.get(which, 0))
+    parts = dict(a.parts)
+    for holder, part in b.parts.items():
+        parts[holder] = max(part, parts.get(holder, part), key=rank)
+    return trimmed(Use(counts, parts, _merge_extra(a.extra, b.extra), beyond))
+
+
+def merge_marks(a: Mark, b: Mark) -> Mark:
+    """One mark from two copies. Where fixed fields differ, somebody broke the rules: the more careful value wins."""
+    if a is b or a == b and not (a.extra or b.extra):
+        return a
+    return Mark(
+        max(a.by, b.by), max(a.key, b.key), max(a.repeat, b.repeat), max(a.group, b.group, key=GROUPS.index),
+        min(a.window_ms, b.window_ms), a.places + b.places, max(a.certainty, b.certainty),
+        min(a.sent_ms, b.sent_ms), max(a.until_ms, b.until_ms), max(a.workload, b.workload),
+        _merge_extra(a.extra, b.extra))
+
+
+def trimmed(use: Use) -> Use:
+    """Without what is over a bound. It is the same whatever came first: the newest of all are among the newest of
+    each copy that had them, so no copy has dropped them before."""
+    counts, parts = use.counts, use.parts
+    if counts:
+        oldest = max(period for _, _, period in counts) - KEPT_PERIODS
+        counts = {which: served for which, served in counts.items() if which[2] > oldest}
+    if len(counts) > MOST_COUNTS:
+        newest = sorted(counts, key=lambda which: (which[2], which), reverse=True)[:MOST_COUNTS]
+        counts = {which: counts[which] for which in newest}
+    if len(parts) > MOST_PARTS:
+        longest = sorted(parts, key=lambda holder: (rank(parts[holder]), holder), reverse=True)[:MOST_PARTS]
+        parts = {holder: parts[holder] for holder in longest}
+    return Use(counts, parts, use.extra, use.beyond)
+
+
+def expired(record: Record, wall_ms: int, slack_ms: int) -> Record:
+    """The record without marks that are over by every clock allowed. Call it on what arrives, too: an old agent
+    may pass on marks that are over, in a form that it can't read."""
+    if isinstance(record, Use) or all(mark.until_ms + slack_ms > wall_ms for mark in record.marks.values()):
+        return record
+    marks = {by: mark for by, mark in record.marks.items() if mark.until_ms + slack_ms > wall_ms}
+    return Session(marks, record.extra, record.beyond)
+
+
+def empty(record: Record) -> bool:
+    """Whether it may be forgotten. What is unknown of a session goes with its last mark, if all marks were read."""
+    if isinstance(record, Session):
+        return not record.marks and not record.beyond
+    return not (record.counts or record.parts or record.extra)
+
+
+def too_far(record: Record, wall_ms: int, longest_ms: int, slack_ms: int) -> ClockAhead | None:
+    """Says whose mark lasts longer than any may: its clock is ahead, and the record isn't to be taken in."""
+    if isinstance(record, Session):
+        for by, mark in sorted(record.marks.items()):
+            if mark.until_ms > wall_ms + longest_ms + slack_ms:
+                lasts = (mark.until_ms - wall_ms) / 1000
+                return ClockAhead(f"a mark of {by}", f"lasts {lasts:.3f} s from now")
+    return None
+
+
+def digest(record: Record) -> bytes:
+    """16 bytes, the same for equal records whatever order, version or program they came by."""
+    if isinstance(record, Session):
+        extra = {name: value for name, value in record.extra.items() if name not in AGAIN}
+        said = ["s", [record.marks[by].fields() for by in sorted(record.marks)], extra]
+    else:
+        extra = {"parts": part_fields(record), **record.extra} if record.parts else record.extra
+        said = ["u", [[*which, record.counts[which]] for which in sorted(record.counts)], extra]
+    return blake2b(encoder.encode(said), digest_size=16).digest()
+
+
+def part_fields(use: Use) -> dict:
+    return {holder: [until, float(rate), float(burst)] for holder, (until, rate, burst) in use.parts.items()}
+
+
+def delta(record: Record, theirs: Record) -> Record:
+    """What `theirs` lacks: merged into it, it gives the same as the whole record would."""
+    both = merge(theirs, record)
+    if isinstance(both, Session):
+        marks = {by: mark for by, mark in record.marks.items()
+                 if by not in theirs.marks or _differ(both.marks[by].fields(), theirs.marks[by].fields())}
+        return Session(marks, record.extra, record.beyond)
+    counts = {which: served for which, served in both.counts.items() if theirs.counts.get(which) != served}
+    parts = {holder: part for holder, part in both.parts.items() if theirs.parts.get(holder) != part}
+    return Use(counts, parts, record.extra, record.beyond)
+
+
+def gained(mark: Mark, **more) -> Mark:
+    """The writer's own next copy of a mark: like `replace`, but it can only gain."""
+    return merge_marks(mark, replace(mark, **more))
+
+
+def rank(value):
+    """A total order of all plain values; numbers by value, lists item by item."""
+    if value is None:
+        return (0,)
+    if isinstance(value, bool):
+        return (1, value)
+    if isinstance(value, int | float):
+        return (2, value, isinstance(value, float), copysign(1, value))
+    if isinstance(value, str):
+        return (3, value)
+    if isinstance(value, bytes):
+        return (4, value)
+    if isinstance(value, dict):
+        return (6, [(name, rank(each)) for name, each in sorted(value.items())])
+    return (5, [rank(each) for each in value])
+
+
+def join(a, b):
+    """The rule for values that nobody here understands; see the top of this file."""
+    if isinstance(a, dict) and isinstance(b, dict):
+        return _merge_extra(a, b)
+    return max(a, b, key=rank)
+
+
+def _merge_extra(a: dict, b: dict, again: tuple = ()) -> dict:
+    if not (a and b):
+        return dict(a or b)
+    both = dict(a)
+    for name, value in b.items():
+        if name not in both:
+            both[name] = value
+        else:
+            both[name] = max(both[name], value, key=rank) if name in again else join(both[name], value)
+    return both
+
+
+def _places(places) -> tuple:
+    known = sorted(set(places) - {ELSEWHERE})
+    if len(known) > MOST_PLACES or ELSEWHERE in places:
+        known = [ELSEWHERE, *known[:MOST_PLACES]]
+    return tuple(known)
+
+
+def _heavy(extra: dict) -> bool:
+    return bool(extra) and len(encoder.encode(extra)) > MOST_UNKNOWN
+
+
+def _differ(a, b) -> bool:
+    return encoder.encode(a) != encoder.encode(b)
