--- a/cartdeal/fleet/errors.py
+++ b/cartdeal/fleet/errors.py
@@ -51,3 +51,39 @@
     """An agent can't read what the fleet writes: it gets no seat; marks that it still held are taken over."""
 
     do = "start that agent with a program that reads the version that the fleet writes"
+
+
+class WrongFleet(Trouble):
+    """A message of another fleet: its words are not read."""
+
+    do = "look which agent's seeds or address name this one, or give both the same `fleet`"
+
+
+class WrongDigest(Trouble):
+    """A message whose digest is not the one that this fleet's key makes of it."""
+
+    do = "give all agents of the fleet the same key; if they have it, somebody else sends here"
+
+
+class WrongVersion(Trouble):
+    """A message in an envelope that this program does not know."""
+
+    do = "bring this agent or the other one up to a program that speaks the same envelope"
+
+
+class TooLong(Trouble):
+    """Words beyond the size that a message may have: not sent, or not read."""
+
+    do = "tell the maintainers; what was said is lost, and is said again or made good later"
+
+
+class Unreadable(Trouble):
+    """Bytes that are no message, or no words that this program knows."""
+
+    do = "look which program sends them; in a rolling upgrade it ends with the upgrade"
+
+
+class WrongPapers(Trouble):
+    """A key of the fleet's operator file can't be used: `what` names the file and the key."""
+
+    do = "correct the file"
