--- a/cartdeal/fleet/errors.py
+++ b/cartdeal/fleet/errors.py
@@ -6,7 +6,7 @@
 
 
 class Trouble(Exception):
-    """`what`: whose fault it is (a key, an agent, a message); `found`: what was there; `do`: an operator's remedy."""
+    """`what`: whose fault it is (a key, an agent, a message); `found`: what was there; `do`: the remedy."""
 
     do = ""
 
@@ -87,3 +87,9 @@
     """A key of the fleet's operator file can't be used: `what` names the file and the key."""
 
     do = "correct the file"
+
+
+class TwoUnderOneName(Trouble):
+    """Two running agents go by one name: the fleet would take the state of one for the other's."""
+
+    do = "give each agent a name of its own in its file, and restart the one that was started last"
