Give the fleet's ring its seats, owners by weighted rendezvous, steps and damping

A step to another ring is bounded by the exact share of first owners that change. The damper keeps no aim of its own: two agents with aims would pull the ring to and fro.

--- /dev/null
+++ b/cartdeal/fleet/ring.py
@@ -0,0 +1,296 @@
+"""Which agents keep which keys: seats, owners by weighted rendezvous, the next step to another ring, and damping.
+
+It is pure and owns no ring that is in force (epochs.py does). It must never move a key whose owners needn't
+change, and never order anything by `hash()` or a set: agents with the same ring must name the same owners.
+"""
+
+from functools import cached_property
+from hashlib import blake2b
+from itertools import pairwise
+from math import log
+from struct import unpack
+
+import msgspec
+from msgspec import Struct
+
+PHASES = ("steady", "widen", "move", "narrow")
+MOST_EPOCH = 1 << 40
+MOST_CAPACITY = 1e6
+LONGEST_NAME = 100
+CACHED = 8192       # keys whose owners a ring remembers; the first in goes first out
+HALF = 0.5          # of what a seat is to have, an agent takes on at most so much in one epoch, then the rest
+MASK = (1 << 64) - 1
+LANE = 128
+
+
+class Seat(Struct, frozen=True, array_like=True):
+    """An agent's place in a ring; `capacity` in (0, 1e6], any unit, the same throughout the fleet."""
+
+    name: str
+    zone: str
+    capacity: float
+
+
+class Ring(Struct, frozen=True, array_like=True, dict=True):
+    """`seats` sorted by name; `written`: the schema version the fleet writes; `phase`: one of PHASES."""
+
+    epoch: int
+    seats: tuple[Seat, ...]
+    written: int = 1
+    phase: str = "steady"
+
+    @cached_property
+    def names(self) -> tuple[str, ...]:
+        return tuple(seat.name for seat in self.seats)
+
+    @cached_property
+    def by_name(self) -> dict[str, Seat]:
+        return {seat.name: seat for seat in self.seats}
+
+    @cached_property
+    def capacity(self) -> float:
+        return sum(seat.capacity for seat in self.seats)
+
+    @property
+    def majority(self) -> int:
+        return len(self.seats) // 2 + 1
+
+    @cached_property
+    def digest(self) -> bytes:
+        return blake2b(msgspec.msgpack.encode(self), digest_size=16).digest()
+
+    @cached_property
+    def drawn(self) -> "Draw":
+        return Draw(self)
+
+
+def digest(ring: Ring) -> bytes:
+    """16 bytes; equal for rings that are equal in epoch, seats, written and phase."""
+    return ring.digest
+
+
+def sound(ring: Ring, most: int) -> bool:
+    """Whether a ring that came from outside can be used; `most`: seats at most."""
+    names = [seat.name for seat in ring.seats]
+    return (0 < ring.epoch < MOST_EPOCH and 0 < len(names) <= most and ring.phase in PHASES
+            and 0 <= ring.written < 1 << 20 and all(a < b for a, b in pairwise(names))
+            and all(0 < len(seat.name) <= LONGEST_NAME and len(seat.zone) <= LONGEST_NAME
+                    and 0 < seat.capacity <= MOST_CAPACITY for seat in ring.seats))     # NaN is not over 0
+
+
+# Owners
+
+
+def number(words: bytes) -> int:
+    return int.from_bytes(blake2b(words, digest_size=8).digest(), "little")
+
+
+class Draw:
+    """Draws a key's owners in one ring: a seat's wait is -ln(u) / capacity, u from key and name, and the shortest
+    waits own the key (Thaler & Ravishankar 1998; by logarithm: Schindelhauer & Schomaker 2005).
+
+    A seat's wait depends on no other seat, so a change of one moves keys to or from that one alone.
+    """
+
+    def __init__(self, ring: Ring):
+        zones = sorted({seat.zone for seat in ring.seats})
+        seats = [seat for zone in zones for seat in ring.seats if seat.zone == zone]
+        self.names = [seat.name for seat in seats]
+        self.turns = [-1 / seat.capacity for seat in seats]
+        self.ones = sum(1 << LANE * place for place in range(len(seats)))
+        self.salts = sum(number(seat.name.encode()) << LANE * place for place, seat in enumerate(seats))
+        self.low = self.ones * MASK
+        ends = [place for place in range(1, len(seats)) if seats[place].zone != seats[place - 1].zone]
+        self.zones = list(pairwise([0, *ends, len(seats)]))
+        self.known: dict[tuple[bytes, int], tuple[str, ...]] = {}
+
+    def owners(self, key: bytes, n: int) -> tuple[str, ...]:
+        found = self.known.get((key, n))
+        if found is None:
+            if len(self.known) >= CACHED:
+                del self.known[next(iter(self.known))]
+            found = self.known[key, n] = self.drawn(key, n)
+        return found
+
+    def drawn(self, key, n):
+        waits = self.waits(key)
+        best = [min(range(start, end), key=waits.__getitem__) for start, end in self.zones]
+        best.sort(key=lambda place: (waits[place], self.names[place]))
+        if len(best) < n:
+            rest = set(best)
+            more = sorted((wait, self.names[place], place)
+                          for place, wait in enumerate(waits) if place not in rest)
+            best += [place for _, _, place in more[:n - len(best)]]
+        return tuple(self.names[place] for place in best[:n])
+
+    def waits(self, key: bytes) -> list[float]:
+        """Of each seat, by zone and name. One whole number holds all seats' 64 bits, 128 apart, so that spreading
+        them (as choice.py's `mixed`: Stafford's 13th) costs a few long operations, not five for each seat."""
+        low, x = self.low, self.salts ^ number(key) * self.ones
+        x = ((x ^ x >> 30) & low) * 0xBF58476D1CE4E5B9 & low
+        x = ((x ^ x >> 27) & low) * 0x94D049BB133111EB & low
+        bits = ((x ^ x >> 31) & low).to_bytes(16 * len(self.turns), "little")
+        return [log((u + 0.5) * 2.0 ** -64) * turn
+                for u, turn in zip(unpack(f"<{len(bits) // 8}Q", bits)[::2], self.turns, strict=True)]
+
+
+def owners(ring: Ring, key: bytes, n: int) -> tuple[str, ...]:
+    """The names that keep a key, first owner first; of the next ones those of zones not used yet come first,
+    by rank, then the rest by rank. Fewer than `n` names only where the ring has fewer seats."""
+    return ring.drawn.owners(key, n)
+
+
+# From one ring to another
+
+
+def least(old: Ring, new: Ring) -> float:
+    """The share of keys that must change their first owner, whatever way owners are found (0 to 1)."""
+    was, now = old.by_name, new.by_name
+    return sum(max(0.0, seat.capacity / new.capacity
+                   - (was[name].capacity / old.capacity if name in was else 0.0)) for name, seat in now.items())
+
+
+def moved(old: Ring, new: Ring) -> float:
+    """The share of keys whose first owner changes (0 to 1), exactly, for ever so many keys.
+
+    A key stays with i if i waits shortest in both rings: 1 / sum over j of max(w_j / w_i, v_j / v_i) (Moulton &
+    Jiang 2018). Never over 2 * least / (1 + least), and least itself where one seat changes.
+    """
+    was, now = old.by_name, new.by_name
+    gone = sum(seat.capacity for name, seat in was.items() if name not in now)
+    come = sum(seat.capacity for name, seat in now.items() if name not in was)
+    kept = sorted((seat.capacity / was[name].capacity, was[name].capacity, seat.capacity)
+                  for name, seat in now.items() if name in was)
+    before, after, same = gone, come + sum(new for _, _, new in kept), 0.0
+    for _, had, has in kept:
+        before, after = before + had, after - has
+        same += 1 / (before / had + max(after, 0.0) / has)
+    return max(0.0, 1 - same)
+
+
+def plan(old: Ring, wanted: dict[str, Seat], step_share: float) -> Ring:
+    """The next ring on the way to `wanted` (not empty), or `old` itself when that is reached.
+
+    Seats that are not wanted go at once: nobody is there to keep their keys. The rest moves no more than what
+    is left of `step_share` of the keys, and a seat rises to half of what it is to have, then to the whole, so that
+    an agent catches up with about half its keys at most in one epoch. Reached in 3 + 4 / step_share epochs at most.
+    """
+    stay = tuple(seat for seat in old.seats if seat.name in wanted)
+    if not stay:
+        return Ring(old.epoch + 1, tuple(wanted[name] for name in sorted(wanted)), old.written, old.phase)
+    left = old if len(stay) == len(old.seats) else Ring(old.epoch, stay)
+    room = max(step_share, 0.01) - (1 - left.capacity / old.capacity)
+
+    def toward(part):
+        seats = []
+        for name in sorted(wanted):
+            had, seat = left.by_name.get(name), wanted[name]
+            had = had.capacity if had else 0.0
+            goal = seat.capacity if had >= HALF * seat.capacity else HALF * seat.capacity
+            now = goal if part == 1 else had + part * (goal - had)
+            if now > 0:
+                seats.append(Seat(name, seat.zone, now))
+        return Ring(old.epoch + 1, tuple(seats), old.written, old.phase)
+
+    new = toward(1)
+    if moved(left, new) > room:
+        low, high = 0.0, 1.0
+        while room > 0 and (high - low > 0.01 * high):
+            part = (low + high) / 2
+            low, high = (part, high) if moved(left, toward(part)) <= room else (low, part)
+        new = toward(low)
+    return old if new.seats == old.seats else new
+
+
+class Step(Struct, frozen=True, array_like=True):
+    """A ring by what differs from the one before, whose digest is `base`: small where few seats change."""
+
+    epoch: int
+    base: bytes
+    gone: tuple[str, ...]
+    seats: tuple[Seat, ...]     # those that are new or differ
+    written: int
+    phase: str
+
+
+def step(old: Ring, new: Ring) -> Step:
+    was = old.by_name
+    return Step(new.epoch, old.digest, tuple(name for name in old.names if name not in new.by_name),
+                tuple(seat for seat in new.seats if was.get(seat.name) != seat), new.written, new.phase)
+
+
+def stepped(old: Ring, taken: Step) -> Ring:
+    """The ring that `taken` leads to from `old`; ValueError where it doesn't start there."""
+    if taken.base != old.digest:
+        raise ValueError("a step from another ring")
+    seats = old.by_name | {seat.name: seat for seat in taken.seats}
+    for name in taken.gone:
+        seats.pop(name, None)
+    return Ring(taken.epoch, tuple(seats[name] for name in sorted(seats)), taken.written, taken.phase)
+
+
+# Damping
+
+
+class Sight(Struct):
+    """Since when an agent has been there without a break, by the same life and about the same capacity."""
+
+    life: int
+    capacity: float
+    since: float
+
+
+class Damper:
+    """Says which seats are wanted, given who is live: what comes, goes or wobbles moves nothing.
+
+    It counts only time in which it was called: an agent that was stopped hasn't watched the others meanwhile.
+    It keeps no aim of its own, so two agents that see the same ring and peers never pull it to and fro.
+    """
+
+    def __init__(self, pact):
+        self.share, self.wait = pact.damp_share, pact.damp_s
+        self.watched, self.last = 0.0, None
+        self.seen: dict[str, Sight] = {}
+        self.missed: dict[str, float] = {}
+
+    def wanted(self, live: dict, ring: Ring, now: float) -> dict[str, Seat]:
+        """Name -> seat. `live`: name -> what has .name, .zone, .capacity, .life; `now` in seconds, local."""
+        if self.last is not None:
+            self.watched += max(0.0, min(now - self.last, self.wait / 4))
+        self.last = now
+        self.look(live, ring)
+        wanted = {}
+        for name, peer in live.items():
+            steady = self.watched - self.seen[name].since >= self.wait
+            seat = ring.by_name.get(name)
+            if seat is None:
+                if steady:
+                    wanted[name] = Seat(name, peer.zone, peer.capacity)
+            elif steady and abs(peer.capacity - seat.capacity) > self.share * seat.capacity:
+                wanted[name] = Seat(name, peer.zone, peer.capacity)
+            elif steady and peer.zone != seat.zone:
+                wanted[name] = Seat(name, peer.zone, seat.capacity)
+            else:
+                wanted[name] = seat
+        for name, since in self.missed.items():
+            if self.watched - since < self.wait:
+                wanted[name] = ring.by_name[name]
+        return wanted
+
+    def look(self, live, ring):
+        seen, missed = {}, {}
+        for name, peer in live.items():
+            sight = self.seen.get(name)
+            if (not sight or sight.life != peer.life
+                    or abs(peer.capacity - sight.capacity) > self.share * sight.capacity):
+                sight = Sight(peer.life, peer.capacity, self.watched)
+            seen[name] = sight
+        for name in ring.names:
+            if name not in live:
+                missed[name] = self.missed.get(name, self.watched)
+        self.seen, self.missed = seen, missed
+
+
+def gone_for(damper: Damper) -> dict[str, float]:
+    """Seconds for which each absent seat has been missed."""
+    return {name: damper.watched - since for name, since in damper.missed.items()}
