--- a/cartdeal/fleet/clocks.py
+++ b/cartdeal/fleet/clocks.py
@@ -1,7 +1,7 @@
 """Hybrid logical clocks (Kulkarni and others, 2014): stamps that follow the wall clock and never go back.
 
-It owns the last stamp, and how far ahead each peer was last heard. It must never believe a clock too far ahead:
-one wrong clock would drag every other one along. Nor does it read a clock: the wall's time comes with each call.
+It owns the last stamp, and how far ahead each peer was last heard. It must never believe a clock too far
+ahead: one wrong clock would drag every other one along. It reads none: the wall's time comes with each call.
 """
 
 from msgspec import Struct
--- a/cartdeal/fleet/records.py
+++ b/cartdeal/fleet/records.py
@@ -1,12 +1,12 @@
 """The kinds of record that the fleet shares, and how two copies of one become one: state-based CRDTs
 (Shapiro and others, 2011).
 
-It owns what a mark and a count of use mean in memory, whatever version they were written by. It must never depend
-on the order, the grouping or the number of arrivals: `merge` is commutative, associative and idempotent, and what it
-drops depends on the merged state alone.
+It owns what a mark and a count of use mean in memory, whatever version they were written by. It must never
+depend on order, grouping or number of arrivals: `merge` is commutative, associative and idempotent, and what
+it drops depends on the merged state alone.
 
-Fields that a program doesn't know are kept and merged by one rule for ever (`join`): maps by key, anything else the
-greater by `rank`. A later version that adds a field must live with it: that's how old agents merge that field.
+Fields that a program doesn't know are kept and merged by one rule for ever (`join`): maps by key, anything
+else the greater by `rank`. A later version that adds a field must live with it: old agents merge it so.
 """
 
 from enum import IntEnum
@@ -27,8 +27,8 @@
 MOST_UNKNOWN = 32 * 1024    # bytes of unknown fields in a record; more makes it full
 GROUPS = ("all", "zone", "cell")        # from the widest to the narrowest
 
-# Fields of a session that say again, in another form, what its marks say. Version 1 has reserved these names: old
-# agents, which can't read them, leave them out of digests, and take one copy whole instead of growing them.
+# Fields of a session that say again, in another form, what its marks say. Version 1 has reserved these names:
+# old agents, which can't read them, leave them out of digests, and keep one copy, so that it can't grow.
 AGAIN = ("by",)
 
 encoder = msgspec.msgpack.Encoder(order="deterministic")
@@ -44,7 +44,7 @@
 
 
 class Mark(Struct, frozen=True):
-    """One lookup of a session. Only one agent writes it (`by`: "name/life/number"); copies may be of any age."""
+    """One lookup of a session. One agent writes it (`by`: "name/life/number"); copies may be of any age."""
 
     by: str
     key: str
@@ -70,7 +70,7 @@
 
 
 class Session(Struct):
-    """Where a session's lookups went. `beyond`: what version it takes to read all of it, if this program can't."""
+    """Where a session's lookups went. `beyond`: the version it takes to read it whole, if this isn't it."""
 
     marks: dict[str, Mark] = {}     # by -> mark
     extra: dict = {}                # unknown fields
@@ -137,7 +137,7 @@
 
 
 def merge_marks(a: Mark, b: Mark) -> Mark:
-    """One mark from two copies. Where fixed fields differ, somebody broke the rules: the more careful value wins."""
+    """One mark from two copies. Where fixed fields differ, a writer broke the rules: the careful wins."""
     if a is b or a == b and not (a.extra or b.extra):
         return a
     return Mark(
@@ -148,8 +148,8 @@
 
 
 def trimmed(use: Use) -> Use:
-    """Without what is over a bound. It is the same whatever came first: the newest of all are among the newest of
-    each copy that had them, so no copy has dropped them before."""
+    """Without what is over a bound. It's the same whatever came first: the newest of all are among the newest
+    of each copy that had them, so no copy has dropped them before."""
     counts, parts = use.counts, use.parts
     if counts:
         oldest = max(period for _, _, period in counts) - KEPT_PERIODS
@@ -164,8 +164,8 @@
 
 
 def expired(record: Record, wall_ms: int, slack_ms: int) -> Record:
-    """The record without marks that are over by every clock allowed. Call it on what arrives, too: an old agent
-    may pass on marks that are over, in a form that it can't read."""
+    """The record without marks that are over by every clock allowed. Call it on what arrives, too: an old
+    agent may pass on marks that are over, in a form that it can't read."""
     if isinstance(record, Use) or all(mark.until_ms + slack_ms > wall_ms for mark in record.marks.values()):
         return record
     marks = {by: mark for by, mark in record.marks.items() if mark.until_ms + slack_ms > wall_ms}
@@ -173,7 +173,7 @@
 
 
 def empty(record: Record) -> bool:
-    """Whether it may be forgotten. What is unknown of a session goes with its last mark, if all marks were read."""
+    """Whether it may be forgotten. What is unknown of a session goes with its last mark, if all were read."""
     if isinstance(record, Session):
         return not record.marks and not record.beyond
     return not (record.counts or record.parts or record.extra)
