--- a/cartdeal/fleet/records.py
+++ b/cartdeal/fleet/records.py
@@ -209,7 +209,7 @@
     both = merge(theirs, record)
     if isinstance(both, Session):
         marks = {by: mark for by, mark in record.marks.items()
-                 if by not in theirs.marks or _differ(both.marks[by].fields(), theirs.marks[by].fields())}
+                 if by not in theirs.marks or differ(both.marks[by].fields(), theirs.marks[by].fields())}
         return Session(marks, record.extra, record.beyond)
     counts = {which: served for which, served in both.counts.items() if theirs.counts.get(which) != served}
     parts = {holder: part for holder, part in both.parts.items() if theirs.parts.get(holder) != part}
@@ -268,5 +268,5 @@
     return bool(extra) and len(encoder.encode(extra)) > MOST_UNKNOWN
 
 
-def _differ(a, b) -> bool:
+def differ(a, b) -> bool:
     return encoder.encode(a) != encoder.encode(b)
