--- a/cartdeal/fleet/ring.py
+++ b/cartdeal/fleet/ring.py
@@ -1,4 +1,4 @@
-"""Which agents keep which keys: seats, owners by weighted rendezvous, the next step to another ring, and damping.
+"""Which agents keep which keys: seats, owners by weighted rendezvous, steps to another ring, damping.
 
 It is pure and owns no ring that is in force (epochs.py does). It must never move a key whose owners needn't
 change, and never order anything by `hash()` or a set: agents with the same ring must name the same owners.
@@ -86,8 +86,8 @@
 
 
 class Draw:
-    """Draws a key's owners in one ring: a seat's wait is -ln(u) / capacity, u from key and name, and the shortest
-    waits own the key (Thaler & Ravishankar 1998; by logarithm: Schindelhauer & Schomaker 2005).
+    """Draws a key's owners in one ring: a seat's wait is -ln(u) / capacity, u from key and name; the
+    shortest waits own the key (Thaler & Ravishankar 1998; by logarithm: Schindelhauer & Schomaker 2005).
 
     A seat's wait depends on no other seat, so a change of one moves keys to or from that one alone.
     """
@@ -124,8 +124,8 @@
         return tuple(self.names[place] for place in best[:n])
 
     def waits(self, key: bytes) -> list[float]:
-        """Of each seat, by zone and name. One whole number holds all seats' 64 bits, 128 apart, so that spreading
-        them (as choice.py's `mixed`: Stafford's 13th) costs a few long operations, not five for each seat."""
+        """Of each seat, by zone and name. One whole number holds all seats' 64 bits, 128 apart, so that
+        spreading them (as choice.py's `mixed`: Stafford's 13th) takes a few long operations, not five a seat."""
         low, x = self.low, self.salts ^ number(key) * self.ones
         x = ((x ^ x >> 30) & low) * 0xBF58476D1CE4E5B9 & low
         x = ((x ^ x >> 27) & low) * 0x94D049BB133111EB & low
@@ -146,15 +146,15 @@
 def least(old: Ring, new: Ring) -> float:
     """The share of keys that must change their first owner, whatever way owners are found (0 to 1)."""
     was, now = old.by_name, new.by_name
-    return sum(max(0.0, seat.capacity / new.capacity
-                   - (was[name].capacity / old.capacity if name in was else 0.0)) for name, seat in now.items())
+    return sum(max(0.0, seat.capacity / new.capacity - (
+        was[name].capacity / old.capacity if name in was else 0.0)) for name, seat in now.items())
 
 
 def moved(old: Ring, new: Ring) -> float:
     """The share of keys whose first owner changes (0 to 1), exactly, for ever so many keys.
 
-    A key stays with i if i waits shortest in both rings: 1 / sum over j of max(w_j / w_i, v_j / v_i) (Moulton &
-    Jiang 2018). Never over 2 * least / (1 + least), and least itself where one seat changes.
+    A key stays with i if i waits shortest in both rings: 1 / sum over j of max(w_j / w_i, v_j / v_i)
+    (Moulton & Jiang 2018). Never over 2 * least / (1 + least), and least itself where one seat changes.
     """
     was, now = old.by_name, new.by_name
     gone = sum(seat.capacity for name, seat in was.items() if name not in now)
@@ -172,8 +172,8 @@
     """The next ring on the way to `wanted` (not empty), or `old` itself when that is reached.
 
     Seats that are not wanted go at once: nobody is there to keep their keys. The rest moves no more than what
-    is left of `step_share` of the keys, and a seat rises to half of what it is to have, then to the whole, so that
-    an agent catches up with about half its keys at most in one epoch. Reached in 3 + 4 / step_share epochs at most.
+    is left of `step_share` of the keys, and a seat rises to half of what it is to have, then to the whole: an
+    agent catches up with about half its keys in one epoch. It takes 3 + 4 / step_share epochs at most.
     """
     stay = tuple(seat for seat in old.seats if seat.name in wanted)
     if not stay:
