--- a/cartdeal/fleet/errors.py
+++ b/cartdeal/fleet/errors.py
@@ -80,7 +80,13 @@
 class Unreadable(Trouble):
     """Bytes that are no message, or no words that this program knows."""
 
-    do = "look which program sends them; in a rolling upgrade it ends with the upgrade"
+    do = "look which program sends them to this address"
+
+
+class UnknownWords(Unreadable):
+    """Words under the right digest that this program can't read: they are passed over, their sender is not."""
+
+    do = "look which program that agent runs; in a rolling upgrade it ends with the upgrade"
 
 
 class WrongPapers(Trouble):
@@ -93,3 +99,22 @@
     """Two running agents go by one name: the fleet would take the state of one for the other's."""
 
     do = "give each agent a name of its own in its file, and restart the one that was started last"
+
+
+class RingStuck(Trouble):
+    """A majority of the ring's seats has been away for long: no other ring can be agreed."""
+
+    do = ("start agents under the names that are away, on any machine; if they are gone for good, stop the whole fleet "
+          "and start it again: it founds itself anew and has forgotten what it shared")
+
+
+class NotFounded(Trouble):
+    """No ring is known and no majority of the seeds is there to agree on the first."""
+
+    do = "start the agents that are named as seeds, and see that all files name the same seeds"
+
+
+class EpochTwice(Trouble):
+    """Two rings were agreed for one epoch: voters restarted and forgot. The lower digest is kept everywhere."""
+
+    do = "look why a majority of the ring's agents restarted at about the same time; nothing needs to be done now"
