--- a/cartdeal/fleet/ring.py
+++ b/cartdeal/fleet/ring.py
@@ -125,7 +125,7 @@
 
     def waits(self, key: bytes) -> list[float]:
         """Of each seat, by zone and name. One whole number holds all seats' 64 bits, 128 apart, so that
-        spreading them (as choice.py's `mixed`: Stafford's 13th) takes a few long operations, not five a seat."""
+        spreading them (as choice.py's `mixed`: Stafford's 13th) takes a few long operations."""
         low, x = self.low, self.salts ^ number(key) * self.ones
         x = ((x ^ x >> 30) & low) * 0xBF58476D1CE4E5B9 & low
         x = ((x ^ x >> 27) & low) * 0x94D049BB133111EB & low
