Tell who is in the fleet: probes, suspicion, refutation and gossip

Replication and the ring need one view of who is there that no single witness can spoil. SWIM with Lifeguard's parts; that an agent is gone is not taken from hearsay, since a healed cut would have each half bury the other's agents anew.

--- /dev/null
+++ b/cartdeal/fleet/members.py
@@ -0,0 +1,674 @@
+"""Who is in the fleet: probes, suspicion, refutation, leaving and coming back, and what each says of itself.
+
+It owns the table of peers. It must never call an agent gone on one witness while there is another to ask,
+believe another about its own name, or do I/O. Sources: SWIM (Das, Gupta, Motivala, DSN 2002) for probing in a
+shuffled round, indirect pings, suspicion, refutation and piggybacked gossip; Lifeguard (Dadgar, Phillips,
+Currey, DSN 2018) for suspicion that shortens with independent witnesses, telling the accused, nacks and local
+health.
+
+Where it differs from both: that an agent is gone is never taken from hearsay. A tale of it counts as what its
+witnesses accuse, and each agent waits out its own time, so that the accused can refute it first. Those that
+are gone to this agent, or came back a moment ago, are no witnesses: after a cut, neither half buries the
+other's agents anew.
+
+One-way cuts. A peer that others reach stays: helpers' acks count as its own. Where B hears nobody, the others
+call B gone and believe no accusation by B any more; B sees that it is cut off from all, and calls all of them
+gone. While B's calls still come in it is kept as gone and not forgotten, so neither side takes the other in
+anew and drops it again. Of two agents alone, each calls the other gone until both ways are open.
+"""
+
+from enum import IntEnum
+from hashlib import blake2b
+from heapq import nsmallest
+from math import ceil, inf, log, log2
+from typing import ClassVar
+from zlib import crc32
+
+from msgspec import Struct, msgpack
+from msgspec.structs import replace
+
+from cartdeal.fleet.desk import Desk, Pact
+from cartdeal.fleet.errors import TwoUnderOneName
+
+ROOM = 1_100            # bytes of a message: the wire puts its own around it
+NAME, ADDRESS = 64, 128     # bytes at most; a zone is bounded as a name is
+PIECES = 64             # in one message at most
+HELPERS = 3             # asked to ping in one's stead
+WITNESSES = 4           # kept and passed on for one accused
+DIRECT = 0.4            # share of a probe's time after which helpers are asked, and a helper gives up
+RELAYS = 64             # pings in others' stead that are out at once
+SLOWEST = 3.0           # how many times suspect_s a suspicion with one witness lasts
+WORST = 4               # local health: a probe takes up to 1 + WORST times as long
+KEPT = 60.0             # seconds the gone are kept after the last sign of them: old gossip raises none
+FRESH = 15.0            # seconds for which one that came back from the gone is no witness
+REACH = 2.0             # seconds between two attempts to reach one that is gone, or an absent seed
+COMPARE = 5.0           # seconds between two comparisons of the whole table with a peer
+BUCKETS, BYTES = 16, 4  # parts of the table that are compared, bytes of digest for each
+SHIPPED = 2             # messages of table pieces, and as many warnings, a tick at most
+OWED = 16               # peers that are owed pieces at once
+WARNINGS = 256          # that wait at once
+GAP = 10                # ticks missed at a stretch after which this agent was stopped, rather than late
+FIRST_ASK, LAST_ASK = 0.25, 4.0     # seconds between two rounds of asking seeds
+
+
+class State(IntEnum):
+    ALIVE = 0
+    SUSPECT = 1
+    GONE = 2
+    LEFT = 3
+
+
+class Peer(Struct, frozen=True, array_like=True):
+    """What an agent says of itself; `turn` goes up at each change and refutation, `life` at each start."""
+
+    name: str
+    address: str
+    life: int
+    turn: int
+    state: int
+    zone: str
+    capacity: float
+    reads: tuple[int, int]
+    moved: int
+
+
+class Told(Struct, frozen=True, array_like=True):
+    """A piece of gossip; `by`: those whose own probes failed, or who have waited out their own suspicion."""
+
+    peer: Peer
+    by: tuple[str, ...] = ()
+
+
+class Ping(Struct, frozen=True, tag="m.ping", array_like=True):
+    DATAGRAM: ClassVar[bool] = True
+    number: int
+    me: Peer
+    told: tuple[Told, ...]
+
+
+class Ack(Struct, frozen=True, tag="m.ack", array_like=True):
+    """From the probed itself or from a helper that has reached it."""
+
+    DATAGRAM: ClassVar[bool] = True
+    number: int
+    me: Peer
+    told: tuple[Told, ...]
+
+
+class Nack(Struct, frozen=True, tag="m.nack", array_like=True):
+    """A helper is well, but has not reached the probed."""
+
+    DATAGRAM: ClassVar[bool] = True
+    number: int
+    me: Peer
+    told: tuple[Told, ...]
+
+
+class Ask(Struct, frozen=True, tag="m.ask", array_like=True):
+    """Ping `target` in my stead."""
+
+    DATAGRAM: ClassVar[bool] = True
+    number: int
+    target: str
+    me: Peer
+    told: tuple[Told, ...]
+
+
+class Compare(Struct, frozen=True, tag="m.compare", array_like=True):
+    """Digests of the table's parts, also how an agent joins: what differs comes back in pieces."""
+
+    DATAGRAM: ClassVar[bool] = True
+    digests: bytes
+    answer: bool
+    me: Peer
+    told: tuple[Told, ...]
+
+
+class Pieces(Struct, frozen=True, tag="m.pieces", array_like=True):
+    """Parts of a table, or a word to the accused."""
+
+    DATAGRAM: ClassVar[bool] = True
+    me: Peer
+    told: tuple[Told, ...]
+
+
+WORDS = (Ping, Ack, Nack, Ask, Compare, Pieces)
+
+
+class Case(Struct):
+    """What is held against a suspect (or one that is gone), and since when by this agent's clock."""
+
+    since: float
+    by: list[str]
+
+
+class Probe(Struct):
+    """The one probe that is out."""
+
+    peer: Peer
+    number: int
+    began: float
+    patience: float     # seconds until it has failed
+    helpers: tuple[str, ...] = ()
+    asked: bool = False
+    nacks: int = 0
+    done: bool = False
+
+
+class Relay(Struct):
+    """A ping in another's stead."""
+
+    asker: str
+    number: int
+    target: str
+    until: float
+
+
+def fits(peer: Peer) -> bool:
+    """Whether each field is in its range (nan is in none)."""
+    low, high = peer.reads
+    return (0 < len(peer.name.encode()) <= NAME and len(peer.address.encode()) <= ADDRESS
+            and len(peer.zone.encode()) <= NAME and 0 <= peer.life < 1 << 62 and 0 <= peer.turn < 1 << 40
+            and 0 <= peer.state <= State.LEFT and 0 < peer.capacity <= 1e6 and 0 < low <= high <= 1_000
+            and 0 <= peer.moved <= 1_000)
+
+
+def sound(told: tuple[Told, ...]) -> bool:
+    return len(told) <= PIECES and all(
+        fits(each.peer) and len(each.by) <= WITNESSES
+        and all(0 < len(name.encode()) <= NAME for name in each.by) for each in told)
+
+
+def bucket(name: str) -> int:
+    return crc32(name.encode()) % BUCKETS
+
+
+def shown(peer: Peer | None) -> tuple | None:
+    """What live() says of it, as far as `version` counts it."""
+    if peer is None or peer.state > State.SUSPECT:
+        return None
+    return peer.life, peer.capacity, peer.reads, peer.zone, peer.moved, peer.state
+
+
+class Members:
+    """The table of one agent. Its messages: a ping and an ack each probe_s, a comparison in COMPARE seconds,
+    the same in a fleet of any size; a failed probe costs up to a dozen more, over five agents."""
+
+    def __init__(self, desk: Desk, pact: Pact):
+        self.desk, self.pact, self.name = desk, pact, desk.name
+        self.version, self.health, self.trouble = 1, 0, None    # trouble: the last TwoUnderOneName
+        mine = Peer(self.name, desk.address, desk.life, 0, State.ALIVE, pact.zone, pact.capacity, pact.reads,
+                    pact.reads[0])
+        self.table: dict[str, Peer] = {self.name: mine}
+        self.cases: dict[str, Case] = {}        # of SUSPECT and GONE ones, by name
+        self.kept: dict[str, float] = {}        # GONE and LEFT ones: when they are forgotten
+        self.back: dict[str, float] = {}        # when one came back from the gone
+        self.warned: dict[str, float] = {}      # when an accused was last told of it
+        self.news: dict[str, tuple[int, int]] = {}      # name: (times sent, minus its place in time)
+        self.warnings: dict[str, Told] = {}
+        self.owed: dict[str, list[str]] = {}    # to whom: the names whose pieces it is still to get
+        self.relays: dict[int, Relay] = {}
+        self.round: list[str] = []
+        self.probe: Probe | None = None
+        self.number, self.place, self.higher = desk.random.getrandbits(40), 0, 0
+        self.ticked = self.seen = self.last_heard = desk.now
+        self.misses, self.answered, self.asking, self.full = 0, False, False, False
+        self.probe_at = desk.now + pact.probe_s * desk.random.random()
+        self.reach_at, self.compare_at, self.pause = inf, inf, FIRST_ASK
+        self.sorted: dict[str, Peer] | None = None
+        self.reply = {Ping: self._ping, Ack: self._ack, Nack: self._nack, Ask: self._ask,
+                      Compare: self._compare, Pieces: self._pieces}
+
+    # What the node asks
+
+    @property
+    def me(self) -> Peer:
+        return self.table[self.name]
+
+    def join(self):
+        """Ask the seeds, again and again until anyone has answered. Before this, nothing is sent unasked."""
+        self.asking, self.reach_at = True, self.desk.now
+        self.compare_at = self.desk.now + COMPARE * self._jitter()
+
+    def leave(self):
+        """Tell a few peers, who tell the others; this agent still answers, and accuses nobody any more."""
+        if self.me.state != State.LEFT:
+            self._put(replace(self.me, turn=self.me.turn + 1, state=State.LEFT))
+            self._spread(self.name)
+            self.asking, self.probe = False, None
+            for name in self._some(self._others(State.SUSPECT), 2 * HELPERS):
+                self._say(name, Pieces)
+
+    def live(self) -> dict[str, Peer]:
+        """ALIVE and SUSPECT, self included, sorted by name. Not to be written: the same until a change."""
+        if self.sorted is None:
+            self.sorted = {name: self.table[name] for name in sorted(self.table)
+                           if self.table[name].state <= State.SUSPECT}
+        return self.sorted
+
+    def size(self) -> int:
+        return len(self.live())
+
+    def addresses(self) -> dict[str, str]:
+        """Where each known agent is to be reached, the gone included: they are still called."""
+        return {name: peer.address for name, peer in self.table.items()}
+
+    def about_me(self, *, capacity: float | None = None, moved: int | None = None):
+        mine = replace(self.me, capacity=self.me.capacity if capacity is None else capacity,
+                       moved=self.me.moved if moved is None else moved)
+        if mine != self.me:
+            self._put(replace(mine, turn=mine.turn + 1))
+            self._spread(self.name)
+
+    def knew_life(self) -> int:
+        """The highest life of this agent's name that a peer told of, where it is above its own; else 0."""
+        return self.higher if self.higher > self.me.life else 0
+
+    # Time
+
+    def tick(self):
+        now = self.desk.now
+        self._woke(now - self.ticked)
+        self.ticked = self.seen = now
+        if self.desk.life > self.me.life:   # the node took a higher one: what was said of the former is over
+            self._put(replace(self.me, life=self.desk.life, turn=0))
+            self._spread(self.name)
+        self._expire(now)
+        self._ship()
+        if self.asking:
+            self._suspicions(now)
+            self._probing(now)
+            self._reaching(now)
+
+    def _woke(self, gap: float):
+        """What ran out while this agent was stopped says nothing of others; they have long accused it."""
+        if gap > GAP * self.pact.tick_s:
+            self.desk.count("stops")
+            self.probe, self.ticked, self.last_heard, self.misses = None, self.desk.now, self.desk.now, 0
+            self.relays.clear()
+            self.owed.clear()
+            for case in self.cases.values():
+                case.since += gap
+            for name in self.kept:
+                self.kept[name] += gap
+            self._worse(1)
+            if self.me.state == State.ALIVE:
+                self._refute(self.me.turn)
+
+    def _expire(self, now: float):
+        for name in [name for name, until in self.kept.items() if until <= now]:
+            self._forget(name)
+        for number in [number for number, relay in self.relays.items() if relay.until <= now]:
+            relay = self.relays.pop(number)
+            if relay.asker in self.table:
+                self._say(relay.asker, Nack, relay.number)
+
+    def _suspicions(self, now: float):
+        over = [name for name, case in self.cases.items() if self.table[name].state == State.SUSPECT
+                and now - case.since >= self._patience(len(case.by))]
+        for name in over:
+            case = self.cases[name]
+            # One witness is enough only where there is nobody left that could be a second.
+            if len(case.by) < 2 and any(other != name for other in self._others(State.ALIVE)):
+                continue
+            if self.name not in case.by:    # it has waited out its own time, which is a witness to the others
+                case.by = [self.name, *case.by][:WITNESSES]
+            self._put(replace(self.table[name], state=State.GONE))
+            self.kept[name] = now + KEPT
+            self._spread(name)
+            self.desk.note("agent gone", name=name, by=tuple(case.by))
+
+    def _patience(self, witnesses: int) -> float:
+        """Lifeguard's dynamic suspicion: from SLOWEST times suspect_s down to it as witnesses confirm."""
+        needed = min(HELPERS, self.size() - 2)
+        if needed < 1:
+            return self.pact.suspect_s
+        share = min(1.0, log(witnesses) / log(needed + 1))
+        return self.pact.suspect_s * (SLOWEST - (SLOWEST - 1) * share)
+
+    def _probing(self, now: float):
+        probe = self.probe
+        if probe and not probe.done:
+            peer = probe.peer
+            if not probe.asked and now >= probe.began + DIRECT * probe.patience:
+                probe.asked = True
+                helpers = [each for each in self._others(State.ALIVE) if each != peer.name]
+                probe.helpers = tuple(self._some(helpers, HELPERS))
+                self._say(peer.name, Ping, probe.number)    # a second chance: one datagram may be lost
+                for name in probe.helpers:
+                    self._say(name, Ask, probe.number, peer.name, about=peer.name)
+            if now >= probe.began + probe.patience:
+                probe.done = True
+                self.misses += 1
+                if probe.nacks < len(probe.helpers) or not probe.helpers:
+                    self._worse(1)      # helpers are silent as well: it may be this agent that is deaf
+                known = self.table.get(peer.name)
+                # A turn that went up meanwhile is a sign of life that came some other way.
+                same = known and (known.life, known.turn) == (peer.life, peer.turn)
+                if same and known.state <= State.SUSPECT:
+                    self._accuse(peer.name, (), mine=True)
+                self._alone(now)
+        if now >= self.probe_at:
+            peer = self._next()
+            self.probe = None
+            patience = self.pact.probe_s * (1 + self.health)
+            self.probe_at = now + patience
+            if peer:
+                self.number += 1
+                self.probe = Probe(peer, self.number, now, patience)
+                self._say(peer.name, Ping, self.number)
+
+    def _alone(self, now: float):
+        """Nothing at all from anyone for long, by a clock that went on: this agent is cut off from all.
+        By probes alone it would take as many rounds to see that as there are agents."""
+        if self.misses >= HELPERS + 1 and now - self.last_heard > SLOWEST * self.pact.suspect_s:
+            others = self._others(State.ALIVE)
+            if others:
+                self.desk.note("cut off from all", agents=len(others))
+            for name in others:
+                self._accuse(name, (), mine=True, quiet=True)
+
+    def _next(self) -> Peer | None:
+        """SWIM's round: each once, in an order shuffled anew each time: none waits longer than two rounds."""
+        for again in (False, True):
+            while self.round:
+                peer = self.table.get(self.round.pop())
+                if peer and peer.state <= State.SUSPECT:
+                    return peer
+            if not again:
+                self.round = self._others(State.SUSPECT)
+                self.desk.random.shuffle(self.round)
+        return None
+
+    def _reaching(self, now: float):
+        if now >= self.reach_at:
+            seeds = [name for name in self.pact.seeds if name != self.name and name not in self.live()]
+            if not self.answered:
+                names = self._some(seeds, HELPERS)
+                self.reach_at = now + self.pause * self._jitter()
+                self.pause = min(2 * self.pause, LAST_ASK)
+            else:
+                gone = [name for name in self.kept if self.table[name].state == State.GONE]
+                names = self._some(list(dict.fromkeys(gone + seeds)), 1)
+                self.reach_at = now + REACH * self._jitter()
+            for name in names:
+                self._say(name, Compare, self._digests(), False)
+        if now >= self.compare_at:
+            self.compare_at = now + COMPARE * self._jitter()
+            for name in self._some(self._others(State.ALIVE), 1):
+                self._say(name, Compare, self._digests(), False)
+
+    # Messages
+
+    def heard(self, sender: str, words):
+        now, me = self.desk.now, words.me
+        self._woke(now - max(self.ticked, self.seen))
+        self.seen = now
+        if not fits(me) or not sound(words.told):
+            return self.desk.count("dropped out of range")
+        if me.name != sender or me.state not in (State.ALIVE, State.LEFT):
+            return self.desk.count("dropped false sender")
+        if sender == self.name:
+            return self._own(Told(me))
+        known = self.table.get(sender)
+        if known and me.life < known.life:
+            # Late, or from one started anew by a clock set back, which has to learn of its higher life.
+            self.desk.count("dropped old life")
+            return self._send(sender, Pieces(self.me, (self._piece(sender),)))
+        self.last_heard, self.answered = now, True
+        if sender in self.kept:
+            # While its calls still come in, it must not be forgotten: it would be taken in anew, for ever.
+            self.kept[sender] = now + KEPT
+        self._fold(Told(me))
+        if sender not in self.table:
+            return      # no room, or it left
+        turn = self.me.turn
+        for each in words.told:
+            self._fold(each)
+        self.reply[type(words)](sender, words)
+        if self.me.turn != turn and type(words) is Pieces and sender in self.table:
+            self._say(sender, Pieces)
+
+    def _ping(self, sender: str, words: Ping):
+        self._say(sender, Ack, words.number)
+
+    def _ack(self, sender: str, words: Ack):
+        probe = self.probe
+        if probe and probe.number == words.number and not probe.done and (
+                sender == probe.peer.name or sender in probe.helpers):
+            probe.done = True
+            self.misses = 0
+            self._worse(-1)
+        elif words.number in self.relays and self.relays[words.number].target == sender:
+            relay = self.relays.pop(words.number)
+            if relay.asker in self.table:
+                self._say(relay.asker, Ack, relay.number, about=sender)
+        else:
+            self.desk.count("late acks")
+
+    def _nack(self, sender: str, words: Nack):
+        if self.probe and self.probe.number == words.number and sender in self.probe.helpers:
+            self.probe.nacks += 1
+
+    def _ask(self, sender: str, words: Ask):
+        if words.target not in self.table or words.target == self.name or len(self.relays) >= RELAYS:
+            return self._say(sender, Nack, words.number)
+        self.number += 1
+        until = self.desk.now + DIRECT * self.pact.probe_s
+        self.relays[self.number] = Relay(sender, words.number, words.target, until)
+        self._say(words.target, Ping, self.number)
+
+    def _compare(self, sender: str, words: Compare):
+        if len(words.digests) != BUCKETS * BYTES:
+            return self.desk.count("dropped out of range")
+        mine = self._digests()
+        differ = [place for place in range(BUCKETS)
+                  if mine[place * BYTES:][:BYTES] != words.digests[place * BYTES:][:BYTES]]
+        if not differ:
+            return
+        if not words.answer:
+            self._say(sender, Compare, mine, True)
+        if sender not in self.owed and len(self.owed) >= OWED:
+            return self.desk.count("dropped comparisons")   # it compares again
+        self.owed[sender] = [name for name in self.table if bucket(name) in differ]
+        self._ship_to(sender)
+
+    def _pieces(self, sender: str, words: Pieces):
+        pass    # all that is in them is folded already
+
+    # What is told
+
+    def _fold(self, told: Told):
+        """Take in one piece. A higher life beats all of a lower one, then a higher turn, then the worse
+        state; but GONE is only what its witnesses accuse."""
+        peer = told.peer
+        if peer.name == self.name:
+            return self._own(told)
+        known = self.table.get(peer.name)
+        if known is None:
+            if peer.state >= State.GONE:
+                return      # it would be passed round for ever by those that forget it at different times
+            if not self._room():
+                return
+            self._enter(peer)
+        elif peer.life < known.life:
+            return self.desk.count("dropped old life")
+        elif (peer.life, peer.turn) > (known.life, known.turn):
+            if peer.state == State.GONE and known.state >= State.GONE:
+                self._put(replace(peer, state=known.state))
+            else:
+                self._enter(peer)
+        elif peer.turn < known.turn:
+            return
+        elif peer.state == State.LEFT and known.state != State.LEFT:
+            self._enter(peer)
+        if peer.state in (State.SUSPECT, State.GONE) and self.table[peer.name].state < State.GONE:
+            self._accuse(peer.name, told.by)
+
+    def _own(self, told: Told):
+        said, mine = told.peer, self.me
+        if said.life < mine.life:
+            return self.desk.count("dropped old life")
+        if (said.address, said.zone) != (mine.address, mine.zone):
+            found = f"{mine.address} in zone {mine.zone!r}, {said.address} in zone {said.zone!r}"
+            self.trouble = TwoUnderOneName(self.name, found)
+            self.desk.note("two agents under one name", what=self.trouble.what, found=self.trouble.found,
+                           do=self.trouble.do)
+        if said.life > mine.life:
+            self.higher = max(self.higher, said.life)
+        elif (said.address, said.zone) == (mine.address, mine.zone) and mine.state == State.ALIVE and (
+                said.turn > mine.turn or said.turn == mine.turn and said.state != State.ALIVE):
+            if said.state != State.ALIVE:
+                self._worse(1)
+                self.desk.count("refutations")
+            self._refute(said.turn)
+
+    def _refute(self, turn: int):
+        self._put(replace(self.me, turn=turn + 1))
+        self._spread(self.name)
+
+    def _enter(self, peer: Peer):
+        """Take what a peer says of itself in place of what was known; a suspicion begins with _accuse."""
+        name, known = peer.name, self.table.get(peer.name)
+        if known and known.state == State.GONE and known.life == peer.life and peer.state != State.LEFT:
+            self.back[name] = self.desk.now
+        self.cases.pop(name, None)
+        self.warnings.pop(name, None)
+        self.warned.pop(name, None)
+        self.kept.pop(name, None)
+        if peer.state == State.LEFT:
+            self.kept[name] = self.desk.now + KEPT
+        elif known is None or known.state > State.SUSPECT:
+            self.round.insert(self.desk.random.randint(0, len(self.round)), name)
+        self._put(replace(peer, state=State.LEFT if peer.state == State.LEFT else State.ALIVE))
+        self._spread(name)
+
+    def _accuse(self, name: str, by: tuple[str, ...], mine: bool = False, quiet: bool = False):
+        case, known = self.cases.get(name), self.table[name]
+        new = [each for each in by if self._counts(each, name)] + [self.name] * mine
+        new = [each for each in dict.fromkeys(new) if not case or each not in case.by]
+        if known.state == State.ALIVE and not quiet and (new or by):
+            self._warn(Told(replace(known, state=State.SUSPECT), by or (self.name,)))
+        if not new or case and len(case.by) >= WITNESSES:
+            return
+        if case is None:
+            case = self.cases[name] = Case(self.desk.now, [])
+        case.by = (case.by + new)[:WITNESSES]
+        if known.state == State.ALIVE:
+            self._put(replace(known, state=State.SUSPECT))
+            self.desk.count("suspicions")
+        self._spread(name)
+
+    def _counts(self, witness: str, accused: str) -> bool:
+        peer = self.table.get(witness)
+        return (peer is not None and witness not in (accused, self.name) and peer.state <= State.SUSPECT
+                and self.desk.now - self.back.get(witness, -inf) >= FRESH)
+
+    def _warn(self, told: Told):
+        name, now = told.peer.name, self.desk.now
+        if now - self.warned.get(name, -inf) >= self.pact.suspect_s / 2 and len(self.warnings) < WARNINGS:
+            self.warned[name] = now
+            self.warnings[name] = told
+
+    # The table
+
+    def _put(self, peer: Peer):
+        old = self.table.get(peer.name)
+        self.table[peer.name] = peer
+        self.sorted = None
+        self.version += shown(old) != shown(peer)
+
+    def _forget(self, name: str):
+        for each in (self.table, self.cases, self.kept, self.back, self.warned, self.warnings, self.news,
+                     self.owed):
+            each.pop(name, None)
+
+    def _room(self) -> bool:
+        if len(self.table) < self.pact.most_agents:
+            return True
+        if self.kept:
+            self._forget(min(self.kept, key=lambda name: (self.kept[name], name)))
+            return True
+        self.desk.count("dropped no room")
+        if not self.full:
+            self.full = True
+            self.desk.note("no room for more agents", most_agents=self.pact.most_agents)
+        return False
+
+    def _digests(self) -> bytes:
+        parts = [[] for _ in range(BUCKETS)]
+        for name, peer in self.live().items():
+            parts[bucket(name)].append(f"{name}\0{peer.life}\0{peer.turn}\n")
+        return b"".join(blake2b("".join(part).encode(), digest_size=BYTES).digest() for part in parts)
+
+    def _others(self, worst: State) -> list[str]:
+        return [name for name, peer in self.live().items() if peer.state <= worst and name != self.name]
+
+    def _some(self, names: list[str], most: int) -> list[str]:
+        return self.desk.random.sample(names, min(most, len(names)))
+
+    def _jitter(self) -> float:
+        return 0.75 + self.desk.random.random() / 2
+
+    def _worse(self, by: int):
+        self.health = min(WORST, max(0, self.health + by))
+
+    # Sending
+
+    def _piece(self, name: str) -> Told:
+        return Told(self.table[name], tuple(self.cases[name].by) if name in self.cases else ())
+
+    def _spread(self, name: str):
+        self.place += 1
+        self.news[name] = (0, -self.place)
+
+    def _say(self, to: str, kind: type, *fields, about: str = ""):
+        """Send with as much gossip as fits: first what `to` is accused of, and what is known of `about`."""
+        room = ROOM - len(msgpack.encode(kind(*fields, self.me, ()))) - 2
+        told, taken = [], {self.name: True}
+        first = [to] if to in self.table and self.table[to].state != State.ALIVE else []
+        first += [about] if about in self.table else []
+        for name in first:
+            taken[name] = True
+            told.append(self._piece(name))
+            room -= len(msgpack.encode(told[-1]))
+        most = 3 * ceil(log2(self.size() + 1))
+        for name in nsmallest(PIECES, self.news, key=self.news.__getitem__):
+            sent, place = self.news[name]
+            if name not in taken:
+                piece = self._piece(name)
+                size = len(msgpack.encode(piece))
+                if size > room or len(told) >= PIECES:
+                    continue
+                room -= size
+                told.append(piece)
+            elif name != self.name:
+                continue
+            self.news[name] = (sent + 1, place)     # of itself, each message tells anyway
+            if sent + 1 >= most:
+                del self.news[name]
+        self._send(to, kind(*fields, self.me, tuple(told)))
+
+    def _ship(self):
+        for name in list(self.warnings)[:SHIPPED]:
+            self._send(name, Pieces(self.me, (self.warnings.pop(name),)))
+        for name in list(self.owed)[:SHIPPED]:
+            self._ship_to(name)
+
+    def _ship_to(self, to: str):
+        names, told = self.owed.pop(to), []
+        room = ROOM - len(msgpack.encode(Pieces(self.me, ()))) - 2
+        while names and len(told) < PIECES:
+            if names[-1] in self.table:
+                piece = self._piece(names[-1])
+                room -= len(msgpack.encode(piece))
+                if room < 0:
+                    break
+                told.append(piece)
+            names.pop()
+        if names:
+            self.owed[to] = names       # at the end of the queue
+        self._send(to, Pieces(self.me, tuple(told)))
+
+    def _send(self, to: str, words):
+        self.desk.send(to, words)
