--- a/cartdeal/fleet/errors.py
+++ b/cartdeal/fleet/errors.py
@@ -104,8 +104,8 @@
 class RingStuck(Trouble):
     """A majority of the ring's seats has been away for long: no other ring can be agreed."""
 
-    do = ("start agents under the names that are away, on any machine; if they are gone for good, stop the whole fleet "
-          "and start it again: it founds itself anew and has forgotten what it shared")
+    do = ("start agents under the names that are away, on any machine; if that can't be, stop the whole "
+          "fleet and start it again: it founds itself anew and has forgotten what it shared")
 
 
 class NotFounded(Trouble):
@@ -115,6 +115,6 @@
 
 
 class EpochTwice(Trouble):
-    """Two rings were agreed for one epoch: voters restarted and forgot. The lower digest is kept everywhere."""
+    """Two rings were agreed for one epoch: voters restarted and forgot. The lower digest is kept."""
 
-    do = "look why a majority of the ring's agents restarted at about the same time; nothing needs to be done now"
+    do = "look why agents of the ring restarted at about the same time; the fleet itself needs nothing done"
--- /dev/null
+++ b/cartdeal/fleet/host.py
@@ -0,0 +1,397 @@
+"""Carries out what the node asks for, on sockets, and brings what peers say back to it as events.
+
+Owns the fleet's sockets: datagrams and a listener on one port, and one stream to each peer that it has words
+for. It must never let an event in while another is being handled, wait for a peer in the middle of one, or
+let a bad peer cost more than its own connection. What finds no room is dropped and counted: the node's parts
+say it again, or make it good.
+"""
+
+import logging
+from collections import Counter, OrderedDict, deque
+from random import Random
+from time import monotonic, time
+from typing import NamedTuple
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from msgspec.structs import replace
+
+from cartdeal.agent.connection import Unbound, bound
+from cartdeal.fleet import wire
+from cartdeal.fleet.errors import TooLong, Trouble, UnknownWords
+from cartdeal.fleet.papers import address as place
+
+CONNECT = 1.0       # how long a connection to a peer may take
+STALLED = 2.0       # how long a peer may take to accept what is written
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 3.0   # between tries to connect, by chance 0.5 to 1.5 times that
+STALE = 5.0         # what has waited for so long is not sent any more: who asked has given up
+IDLE = 30.0         # after which a stream that carries nothing is closed by the one that writes ...
+SILENT = 90.0       # ... and by the one that reads
+GREET = 2.0         # how long a connection may take to its first message
+STRANGERS = 32      # connections that have brought none yet
+QUEUE = 1024        # messages that wait for one peer
+BATCH = 65536       # bytes written at once, or little more
+READ = 65536        # bytes read at once
+TURN = 16           # datagrams read before the others have a turn
+NOTED = 256         # faults of peers that are remembered as told
+AGAIN = 0.05        # pause before what died of a fault begins again
+REPORT = 60.0       # seconds between lines of figures
+DOORS = 20          # tries to find one port for both kinds of socket
+
+log = logging.getLogger("cartdeal.fleet")
+
+
+class Bounds(NamedTuple):
+    """What the host may take: connections each way, bytes of messages that wait, bytes of those half come."""
+
+    streams: int = 256
+    waiting: int = 16 << 20
+    half: int = 16 << 20
+
+
+class Road:
+    """What waits for one peer's stream, and the greenlet that writes it."""
+
+    def __init__(self, address):
+        self.address, self.queue, self.more = address, deque(), Event()
+        self.used, self.greenlet = monotonic(), None
+
+
+class Host:
+    """`make(pact, seed, now, wall)` gives the node; `decided(ticket, verdict, wait, heed)` gets its words on
+    a lookup. Raises connection.Unbound."""
+
+    def __init__(self, pact, listen, make, decided, bounds: Bounds | None = None):
+        self.words, self.listener = doors(listen)
+        self.port = self.listener.getsockname()[1]
+        if not place(pact.address):
+            pact = replace(pact, address=f"{listen[0]}:{self.port}")
+        self.pact, self.decided, self.bounds = pact, decided, bounds or Bounds()
+        self.random, self.figured = Random(), Counter()
+        self.events, self.busy = deque(), False
+        self.roads: OrderedDict[tuple, Road] = OrderedDict()    # the one least lately used first
+        self.waiting = self.half = 0
+        self.readers: dict = {}     # greenlet of each connection from a peer -> [socket, known, last heard]
+        self.told: OrderedDict[tuple, float] = OrderedDict()
+        self.verbs = {"send": self.send, "decided": decided, "note": self.note}
+        self.node = make(pact, self.random.getrandbits(64), monotonic(), time())
+
+    def start(self):
+        self.carry_out()
+        works = self.tick, self.hear, self.accept, self.report
+        self.works = [gevent.spawn(self.endure, work) for work in works]
+
+    def endure(self, work):
+        """What runs as long as the agent does: one that is deaf since a fault would look alive."""
+        while True:
+            try:
+                return work()
+            except Exception:
+                log.exception("work died", extra={"work": work.__name__})
+                gevent.sleep(AGAIN)
+
+    def stop(self):
+        for sock, _, _ in self.readers.values():
+            sock.close()
+        gevent.killall(self.works + list(self.readers) + [road.greenlet for road in self.roads.values()])
+        self.words.close()
+        self.listener.close()
+
+    # Events
+
+    def feed(self, event: str, *args):
+        """One event into the node; one that comes of its effects is played after those."""
+        self.events.append((event, args))
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                event, args = self.events.popleft()
+                self.play(event, args)
+        finally:
+            self.busy = False
+
+    def play(self, event: str, args):
+        node = self.node
+        node.now, node.wall = max(node.now, monotonic()), time()
+        try:
+            getattr(node, event)(*args)
+        except Exception:
+            # A broken part must not take the agent with it; the gate answers what it leaves undecided.
+            self.figured["events failed"] += 1
+            log.exception("event failed", extra={"event": event})
+        self.carry_out()
+
+    def carry_out(self):
+        asked, self.node.asked = self.node.asked, []
+        for verb, *args in asked:
+            try:
+                self.verbs[verb](*args)
+            except Exception:
+                self.figured["effects failed"] += 1
+                log.exception("effect failed", extra={"effect": verb})
+
+    def tick(self):
+        while True:
+            gevent.sleep(self.pact.tick_s * (0.9 + 0.2 * self.random.random()))
+            self.feed("tick")
+
+    def report(self):
+        while True:
+            gevent.sleep(REPORT * (0.9 + 0.2 * self.random.random()))
+            log.info("figures", extra={"words": " ".join(f"{key.replace(' ', '_')}={value}"
+                                                         for key, value in sorted(self.figures().items()))})
+
+    def figures(self) -> dict:
+        return {**self.node.figures(), **self.figured, "streams out": len(self.roads),
+                "streams in": len(self.readers), "bytes waiting": self.waiting}
+
+    def note(self, kind: str, about: dict):
+        log.info(kind, extra={"words": " ".join(f"{key}={value}" for key, value in about.items())})
+
+    # To peers
+
+    def send(self, to: str, address: str, words):
+        node, at = self.node, place(address)
+        if at is None:
+            self.figured["dropped no address"] += 1
+            return self.tell_once("bad address", to, f"{to} at {str(address)[:64]!r}")
+        try:
+            text = wire.encode(self.pact, node.name, node.life, node.address, int(node.wall * 1e3), words)
+        except TooLong as trouble:
+            self.figured["dropped too long"] += 1
+            return self.tell_once("not sent", type(words).__name__, str(trouble))
+        self.figured["sent messages"] += 1
+        self.figured["sent bytes"] += len(text)
+        if words.DATAGRAM:
+            try:
+                self.words.sendto(text, at)
+            except OSError:     # a full buffer is one, too: a datagram may be lost
+                self.figured["dropped datagrams"] += 1
+        else:
+            self.queue(at, wire.framed(text))
+
+    def queue(self, at, text: bytes):
+        road = self.roads.get(at)
+        if road is None:
+            if len(self.roads) >= self.bounds.streams and not self.close_least_used():
+                self.figured["dropped no stream"] += 1
+                return
+            road = self.roads[at] = Road(at)
+            road.greenlet = gevent.spawn(self.write, road)
+        self.roads.move_to_end(at)
+        while road.queue and (len(road.queue) >= QUEUE or self.waiting + len(text) > self.bounds.waiting):
+            self.take(road)
+            self.figured["dropped oldest"] += 1
+        if self.waiting + len(text) > self.bounds.waiting:
+            self.figured["dropped no memory"] += 1
+            return
+        road.queue.append((monotonic(), text))
+        self.waiting += len(text)
+        road.used = monotonic()
+        road.more.set()
+
+    def take(self, road: Road) -> bytes:
+        _, text = road.queue.popleft()
+        self.waiting -= len(text)
+        return text
+
+    def close_least_used(self) -> bool:
+        """Takes the stream that has stood empty for longest; one with words in it is not taken."""
+        for at, road in self.roads.items():
+            if not road.queue:
+                del self.roads[at]
+                road.greenlet.kill(block=False)
+                return True
+        return False
+
+    def write(self, road: Road):
+        sock, pause = None, FIRST_PAUSE
+        try:
+            while True:
+                while not road.queue:
+                    road.more.clear()
+                    if not road.more.wait(IDLE):
+                        return
+                try:
+                    if sock is not None and ended(sock):
+                        sock.close()
+                        sock = None
+                    if sock is None:
+                        sock = connected(road.address)
+                    text = self.batch(road)
+                    if text:
+                        sock.settimeout(STALLED)
+                        sock.sendall(text)
+                        pause = FIRST_PAUSE
+                except OSError:
+                    # What was on its way is lost: whether the peer has read it can't be known.
+                    self.figured["streams failed"] += 1
+                    sock = sock and sock.close()
+                    gevent.sleep(pause * (0.5 + self.random.random()))
+                    pause = min(LONGEST_PAUSE, 2 * pause)
+                    self.drop_stale(road)
+        except Exception:
+            log.exception("stream died", extra={"address": road.address})
+        finally:
+            if sock is not None:
+                sock.close()
+            while road.queue:
+                self.take(road)
+            if self.roads.get(road.address) is road:
+                del self.roads[road.address]
+
+    def batch(self, road: Road) -> bytes:
+        self.drop_stale(road)
+        parts, size = [], 0
+        while road.queue and size < BATCH:
+            parts.append(self.take(road))
+            size += len(parts[-1])
+        return b"".join(parts)
+
+    def drop_stale(self, road: Road):
+        while road.queue and road.queue[0][0] < monotonic() - STALE:
+            self.take(road)
+            self.figured["dropped stale"] += 1
+
+    def flush(self, until: float):
+        """Waits until all is written, or the time is up."""
+        while self.waiting and monotonic() < until:
+            gevent.sleep(0.005)
+
+    # From peers
+
+    def hear(self):
+        turn = 0
+        while True:
+            turn += 1
+            if not turn % TURN:
+                gevent.sleep(0)     # one that sends without pause must not have the agent for itself
+            try:
+                text, peer = self.words.recvfrom(wire.LONGEST_DATAGRAM + 1)
+            except BlockingIOError:
+                socket.wait_read(self.words.fileno())
+                continue
+            self.take_in(text, peer, wire.LONGEST_DATAGRAM)
+
+    def accept(self):
+        while True:
+            try:
+                sock, peer = self.listener.accept()
+            except OSError as trouble:
+                log.warning("accept failed", extra={"words": str(trouble)})
+                gevent.sleep(AGAIN)
+                continue
+            strangers = [each for each, (_, known, _) in self.readers.items() if not known]
+            if len(strangers) >= STRANGERS or len(self.readers) >= self.bounds.streams:
+                # The one longest silent goes: it comes again when it has something to say.
+                least = min(strangers if len(strangers) >= STRANGERS else self.readers,
+                            key=lambda each: self.readers[each][2])
+                self.figured["closed no room"] += 1
+                self.readers.pop(least)[0].close()
+                least.kill(block=False)
+            reader = gevent.spawn(self.read, sock, peer)
+            self.readers[reader] = [sock, False, monotonic()]
+
+    def read(self, sock, peer):
+        state, frames, half = self.readers[gevent.getcurrent()], wire.Frames(), 0
+        until = monotonic() + GREET
+        try:
+            while True:
+                sock.settimeout(SILENT if state[1] else max(0.001, until - monotonic()))
+                more = sock.recv(READ)
+                if not more:
+                    return
+                messages = frames.feed(more)
+                self.half += len(frames.rest) - half
+                half = len(frames.rest)
+                for text in messages:
+                    if not self.take_in(text, peer, wire.LONGEST_FRAME):
+                        return
+                    state[1], state[2] = True, monotonic()
+                if self.half > self.bounds.half:
+                    self.figured["closed half"] += 1
+                    return
+                gevent.sleep(0)
+        except TimeoutError:
+            self.figured["closed silent"] += 1
+        except Trouble as trouble:
+            self.refuse(trouble, peer)
+        except OSError:
+            pass
+        finally:
+            self.half -= half
+            sock.close()
+            self.readers.pop(gevent.getcurrent(), None)
+
+    def take_in(self, text: bytes, peer, most: int) -> bool:
+        """Whether the one who said it may go on."""
+        try:
+            said = wire.decode(self.pact, text, most)
+        except UnknownWords as trouble:
+            self.refuse(trouble, peer)
+            return True
+        except Trouble as trouble:
+            self.refuse(trouble, peer)
+            return False
+        self.figured["heard messages"] += 1
+        self.figured["heard bytes"] += len(text)
+        self.feed("heard", *said)
+        return True
+
+    def refuse(self, trouble: Trouble, peer):
+        kind = type(trouble).__name__
+        self.figured[f"refused {kind}"] += 1
+        self.tell_once("refused", (kind, peer[0]), f"{kind} from {peer[0]}:{peer[1]}: {trouble}")
+
+    def tell_once(self, what: str, about, words: str):
+        """Of one fault of one peer the log has one line in a while; the figures have them all."""
+        now = monotonic()
+        if now < self.told.get((what, about), 0.0):
+            return
+        self.told[what, about] = now + REPORT
+        self.told.move_to_end((what, about))
+        if len(self.told) > NOTED:
+            self.told.popitem(last=False)
+        log.warning(what, extra={"words": words})
+
+
+def doors(listen):
+    """A socket for datagrams and one that listens, on one port."""
+    for left in reversed(range(DOORS if listen[1] == 0 else 1)):
+        listener = bound(socket.SOCK_STREAM, listen)
+        try:
+            words = bound(socket.SOCK_DGRAM, (listen[0], listener.getsockname()[1]))
+        except Unbound:
+            listener.close()
+            if not left:
+                raise
+            continue
+        listener.listen(256)
+        words.settimeout(0.0)   # what is sent in the middle of an event must never wait
+        return words, listener
+
+
+def connected(at):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(CONNECT)
+        sock.connect(at)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def ended(sock) -> bool:
+    """Whether the peer has closed it: the first words written after that would be lost without a sign."""
+    sock.settimeout(0.0)
+    try:
+        return sock.recv(1) is not None     # it never says anything on it; if it does, it is none of ours
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/cartdeal/fleet/wire.py
+++ b/cartdeal/fleet/wire.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from cartdeal.fleet.errors import TooLong, Unreadable, WrongDigest, WrongFleet, WrongVersion
+from cartdeal.fleet.errors import TooLong, UnknownWords, Unreadable, WrongDigest, WrongFleet, WrongVersion
 
 VERSION = 1         # of the envelope; what words are in it, their tags say
 SEAL = 16           # bytes of the digest that are sent
@@ -76,7 +76,7 @@
     try:
         words = tongue().decode(envelope.words)
     except UNREADABLE as trouble:
-        raise Unreadable(f"words of {envelope.sender!r}", trouble) from None
+        raise UnknownWords(f"words of {envelope.sender!r}", trouble) from None
     return envelope.sender, envelope.life, envelope.address, envelope.wall_ms, words
 
 
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -1,13 +1,17 @@
+import time
 from typing import ClassVar
 
+import gevent
 import msgspec
 import pytest
+from gevent import socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec import Struct
 
 from cartdeal.fleet import errors, wire
 from cartdeal.fleet.desk import Pact
+from cartdeal.fleet.host import Bounds, Host
 
 
 class Hail(Struct, frozen=True, tag="t.hail", array_like=True):
@@ -117,3 +121,187 @@
     assert not frames.rest
     with pytest.raises(errors.Unreadable):
         frames.feed(wire.framed(b"x"))
+
+
+class Scripted:
+    """A node that notes what it hears and says what a test tells it to."""
+
+    def __init__(self, pact, seed, now, wall):
+        self.pact, self.name, self.life, self.address = pact, pact.name, 7, pact.address
+        self.asked, self.now, self.wall, self.got, self.ticks, self.depth = [], now, wall, [], 0, 0
+
+    def heard(self, sender, life, address, wall_ms, words):
+        assert not self.depth
+        self.depth, self.got = 1, self.got + [(sender, life, address, words)]
+        if words == Hail("die"):
+            self.depth = 0
+            raise ValueError("broken part")
+        self.depth = 0
+
+    def tick(self):
+        self.ticks += 1
+
+    def say(self, to, address, *words):
+        self.asked += [("send", to, address, each) for each in words]
+
+    def decide(self, *about):
+        self.asked.append(("decided", *about))
+
+    def figures(self):
+        return {"ticks": self.ticks}
+
+
+@pytest.fixture
+def hosts():
+    made = []
+
+    def make(name, decided=None, bounds=None, start=True, **more):
+        pact = msgspec.structs.replace(PACT, name=name, address="", tick_s=0.01, **more)
+        made.append(Host(pact, ("127.0.0.1", 0), Scripted, decided, bounds))
+        made[-1].works = []
+        if start:
+            made[-1].start()
+        return made[-1]
+
+    with gevent.Timeout(20):
+        yield make
+    for host in made:
+        host.stop()
+
+
+def until(true):
+    while not true():
+        gevent.sleep(0.002)
+
+
+def say(host, to, *words):
+    host.feed("say", to.pact.name, to.node.address, *words)
+
+
+def test_words_go_by_datagram_or_stream_and_come_with_their_sender(hosts):
+    a, b = hosts("a"), hosts("b")
+    say(a, b, Load(bytes(400_000)), Hail("x"), Load(b"y"))
+    until(lambda: len(b.node.got) == 3 and b.node.ticks and not a.waiting)
+    assert {each[:3] for each in b.node.got} == {("a", 7, a.node.address)}
+    assert [each[3] for each in b.node.got if type(each[3]) is Load] == [Load(bytes(400_000)), Load(b"y")]
+    assert len(a.roads) == 1 and len(b.readers) == 1 and not b.half
+    say(a, b, Hail("x" * 2000))
+    a.feed("say", "b", "nowhere", Hail("x"))
+    assert a.figured["dropped too long"] == a.figured["dropped no address"] == 1
+
+
+def test_an_event_that_comes_of_an_effect_is_played_after_it(hosts):
+    seen = []
+    a = hosts("a", decided=lambda ticket, *rest: seen.append(ticket) or ticket < 3 and (
+        a.feed("decide", ticket + 2), seen.append(-ticket)))
+    a.feed("decide", 1)
+    assert seen == [1, -1, 3]
+
+
+def test_a_broken_part_takes_nothing_else_with_it(hosts, caplog):
+    a, b = hosts("a"), hosts("b")
+    say(a, b, Load(b"x"), Hail("die"), Hail("on"))
+    until(lambda: len(b.node.got) == 3)
+    assert "event failed" in caplog.text and len(b.readers) == 1
+
+
+@pytest.mark.parametrize("text, kind", [
+    (bytes(4), "Unreadable"), (b"\xff" * 8, "TooLong"), (wire.framed(b"x" * 60), "WrongVersion"),
+    (wire.framed(wire.encode(msgspec.structs.replace(PACT, key=b"l" * 32), "a", 1, "", 9, Hail("x"))),
+     "WrongDigest")])
+def test_a_bad_peer_costs_its_own_stream_alone_and_is_told_once(hosts, caplog, text, kind):
+    a, b = hosts("a"), hosts("b")
+    say(a, b, Load(b"x"))
+    until(lambda: b.node.got)
+    for _ in range(3):
+        bad = socket.create_connection(("127.0.0.1", b.port))
+        bad.sendall(text)
+        assert bad.recv(1) == b""
+    say(a, b, Load(b"y"))
+    until(lambda: len(b.node.got) == 2)
+    assert b.figured[f"refused {kind}"] == 3 and len(b.readers) == 1 and not b.half
+    assert len([each for each in caplog.messages if each == "refused"]) == 1
+
+
+def test_words_of_a_newer_program_are_passed_over_and_their_stream_is_kept(hosts):
+    b = hosts("b")
+    text = sealed(msgspec.msgpack.encode(["f", "a", 1, "", 9, ["t.new", 1]]))
+    with socket.create_connection(("127.0.0.1", b.port)) as peer:
+        peer.sendall(wire.framed(text) + wire.framed(wire.encode(PACT, "a", 1, "", 9, Load(b"x"))))
+        until(lambda: b.node.got)
+    assert b.figured["refused UnknownWords"] == 1 and len(b.node.got) == 1
+
+
+def test_strangers_have_little_time_and_room_and_a_known_peer_keeps_its_stream(hosts, monkeypatch):
+    monkeypatch.setattr("cartdeal.fleet.host.STRANGERS", 3)
+    monkeypatch.setattr("cartdeal.fleet.host.GREET", 0.1)
+    a, b = hosts("a"), hosts("b", bounds=Bounds(half=100_000))
+    say(a, b, Load(b"x"))
+    until(lambda: b.node.got)
+    silent = [socket.create_connection(("127.0.0.1", b.port)) for _ in range(8)]
+    assert all(each.recv(1) == b"" for each in silent)
+    hoarder = socket.create_connection(("127.0.0.1", b.port))
+    hoarder.sendall((200_000).to_bytes(4, "big") + bytes(150_000))
+    with pytest.raises(ConnectionError):
+        while hoarder.recv(1):
+            pass
+        raise ConnectionResetError
+    say(a, b, Load(b"y"))
+    until(lambda: len(b.node.got) == 2 and len(b.readers) == 1)
+    assert b.figured["closed half"] == 1 and not b.half
+
+
+def test_what_waits_for_a_peer_that_does_not_read_is_bounded_and_the_oldest_goes(hosts, monkeypatch):
+    monkeypatch.setattr("cartdeal.fleet.host.QUEUE", 8)
+    a, b = hosts("a", bounds=Bounds(waiting=40_000_000)), hosts("b", start=False)
+    for place in range(100):
+        say(a, b, Load(bytes(500_000) + b"%d" % place))
+        gevent.sleep(0)
+    assert a.figured["dropped oldest"] > 50 and a.waiting < 9 * 500_100
+    a.bounds = Bounds(waiting=1_000_000)
+    say(a, b, Load(bytes(500_000)))
+    assert a.waiting < 1_000_000
+    b.start()
+    until(lambda: not a.waiting and b.node.got)
+
+
+def test_a_peer_that_comes_back_is_reached_and_what_is_stale_is_not_sent(hosts, monkeypatch):
+    monkeypatch.setattr("cartdeal.fleet.host.FIRST_PAUSE", 0.01)
+    monkeypatch.setattr("cartdeal.fleet.host.STALE", 0.2)
+    a, b = hosts("a"), hosts("b")
+    say(a, b, Load(b"1"))
+    until(lambda: b.node.got)
+    port, old = b.port, b
+    old.stop()
+    until(lambda: not old.readers)
+    say(a, b, Load(b"2"))
+    until(lambda: a.figured["dropped stale"] == 1)
+    say(a, b, Load(b"3"))
+    back = Host(msgspec.structs.replace(PACT, name="b", address=""), ("127.0.0.1", port), Scripted, None)
+    back.start()
+    until(lambda: back.node.got or say(a, b, Load(b"4")))
+    assert Load(b"2") not in [each[3] for each in back.node.got]
+    back.stop()
+
+
+def test_streams_are_bounded_and_close_when_they_carry_nothing(hosts, monkeypatch):
+    a, peers = hosts("a", bounds=Bounds(streams=2)), [hosts(name) for name in "bcd"]
+    for peer in peers:
+        say(a, peer, Load(b"x"))
+        until(lambda peer=peer: peer.node.got)
+    assert len(a.roads) == 2
+    monkeypatch.setattr("cartdeal.fleet.host.IDLE", 0.05)
+    for peer in peers[1:]:
+        say(a, peer, Load(b"y"))
+    until(lambda: not a.roads and not any(peer.readers for peer in peers))
+
+
+def test_a_flood_of_datagrams_leaves_the_agent_its_turn(hosts):
+    b = hosts("b")
+    stranger, ran = socket.socket(socket.AF_INET, socket.SOCK_DGRAM), []
+    for _ in range(200):
+        stranger.sendto(b"noise", ("127.0.0.1", b.port))
+    time.sleep(0.01)
+    gevent.spawn(lambda: ran.append(b.figured["refused Unreadable"]))
+    until(lambda: b.figured["refused Unreadable"] == 200)
+    assert ran and ran[0] < 200
