Agree on the fleet's ring by a majority of the last, and vouch for it

Each epoch is one decree of Paxos among the last ring's names. A ballot ends within lease_s and a restarted voter is silent for twice that, so what it forgot can't count any more. Voters don't unseat an agent that they see themselves.

--- /dev/null
+++ b/cartdeal/fleet/epochs.py
@@ -0,0 +1,610 @@
+"""Which ring is in force: each epoch is agreed by a majority of the last one's seats, and vouched for.
+
+It owns the ring, what this agent promised and accepted as a voter, and what it may say of both. It must never
+let a minority draw a ring, vouch for an epoch after it accepted the next, or believe an answer not asked for.
+
+Epoch e + 1 is one decree of Paxos (Lamport 1998) among the names of ring e; the first is one among those
+of the seeds. A voter's memory is its process: one that restarted is silent for twice lease_s, and by then each
+ballot that it may have forgotten is over. What that can't save (voters who forget a decision that nobody else
+heard of) ends in two rings of one epoch: the lower digest wins everywhere, and both are noted.
+"""
+
+from heapq import nlargest
+from math import ceil, inf, sqrt
+from typing import ClassVar
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from cartdeal.fleet import errors
+from cartdeal.fleet.ring import MOST_EPOCH, Damper, Ring, Seat, Step, plan, sound, step, stepped
+
+FAR = 1 << 20           # epochs ahead of the own one that are no honest agent's
+MOST_BALLOT = 1 << 40
+UNHEARD = 255           # an age in e.vouched: not heard of within the lease
+AGES = 200              # steps of age in a lease
+OWED = 64               # askers of one epoch that wait until this agent has learnt it
+STUCK_S = 30.0          # this long without a majority of the ring's seats, and an operator is told
+
+
+class Ask(Struct, frozen=True, tag="e.ask", array_like=True):
+    """Tell me your ring; mine is of epoch `has` (0: none), with digest `mark`."""
+
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+
+
+class Has(Struct, frozen=True, tag="e.has", array_like=True):
+    """My ring is of epoch `has` (0: none)."""
+
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+
+
+class Next(Struct, frozen=True, tag="e.next", array_like=True):
+    """Decided: the step from the ring of the epoch before."""
+
+    DATAGRAM: ClassVar[bool] = False
+    step: Step
+
+
+class Whole(Struct, frozen=True, tag="e.whole", array_like=True):
+    """Decided: the ring, as the one before and the step from it."""
+
+    DATAGRAM: ClassVar[bool] = False
+    former: Ring
+    step: Step
+
+
+class Prepare(Struct, frozen=True, tag="e.prepare", array_like=True):
+    """The sender's ballot `number` for the epoch after `has`; `gone`: the seats that it would unseat."""
+
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+    number: int
+    gone: tuple[str, ...]
+
+
+class Promise(Struct, frozen=True, tag="e.promise", array_like=True):
+    """No ballot below `number` from now on; `step` is what I accepted by `ballot` (None: nothing yet)."""
+
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+    number: int
+    ballot: tuple[int, str] | None
+    step: Step | None
+
+
+class Refuse(Struct, frozen=True, tag="e.refuse", array_like=True):
+    """Not by ballot `number`; I have promised `above`; `why`: "older", "live" or "forgot"."""
+
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+    number: int
+    above: int
+    why: str
+
+
+class Accept(Struct, frozen=True, tag="e.accept", array_like=True):
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+    number: int
+    step: Step
+
+
+class Accepted(Struct, frozen=True, tag="e.accepted", array_like=True):
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+    number: int
+
+
+class Vouch(Struct, frozen=True, tag="e.vouch", array_like=True):
+    """Is this still your epoch, and have you accepted none higher?"""
+
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+    round: int
+
+
+class Vouched(Struct, frozen=True, tag="e.vouched", array_like=True):
+    """`ages`: a byte a seat, in the ring's order: how many `unit_ms` ago, at most, it said that this is its
+    epoch and that it accepted none higher, by the answerer's clock (0: now; 255: not within its lease)."""
+
+    DATAGRAM: ClassVar[bool] = False
+    has: int
+    mark: bytes
+    round: int
+    unit_ms: int
+    ages: bytes
+
+
+WORDS = (Ask, Has, Next, Whole, Prepare, Promise, Refuse, Accept, Accepted, Vouch, Vouched)
+
+
+class Attempt(Struct):
+    """A ballot of one's own. It ends within lease_s, won or not: a voter that restarts counts on that."""
+
+    number: int
+    step: Step
+    gone: tuple[str, ...]
+    until: float
+    again: float                            # when those that are silent are asked once more
+    promises: dict[str, tuple | None] = {}  # voter -> (ballot, step) it had accepted
+    refused: dict[str, str] = {}
+    accepting: bool = False
+    accepted: dict[str, bool] = {}
+
+
+class Epochs:
+    def __init__(self, desk, pact):
+        self.desk, self.pact = desk, pact
+        seeds = sorted(pact.seeds)
+        self.ground = Ring(0, tuple(Seat(name, "", 1.0) for name in seeds))     # its names vote for epoch 1
+        self.ring: Ring | None = None
+        self.former: Ring | None = None     # the ring of the epoch before, None before the second
+        self.since = desk.now               # when the ring was learnt
+        self.version = 0                    # goes up when the ring changes
+        self.begun = desk.now
+        self.live: dict = {}
+        self.damper = Damper(pact)
+        self.last_step: Step | None = None
+        self.twins: dict[bytes, bool] = {}
+        self.ask_after = self.look_after = -inf
+        self.search, self.blank = 0.0, {}
+        self.short, self.looked, self.told_stuck = 0.0, desk.now, False
+        self.round = 0
+        self.targets: dict[str, int] = {}   # whom to ask for vouches -> asked in vain so often
+        self.renew()
+
+    def renew(self):
+        """Forgets what belonged to the epoch before."""
+        self.promised = (0, "")
+        self.accepted: tuple[tuple[int, str], Step] | None = None
+        self.attempt: Attempt | None = None
+        self.top, self.backoff, self.pause = 0, 0.2, -inf
+        self.need: Ring | None = None
+        self.needed = inf
+        self.rounds: dict[int, float] = {}
+        self.ask_round, self.eager = -inf, 0.1
+        self.heard_at: list[float] = [-inf] * len(self.base.seats)
+        self.kth: float | None = None
+        self.owed: dict[str, Vouch] = {}
+        self.place = {name: place for place, name in enumerate(self.base.names)}
+
+    @property
+    def base(self) -> Ring:
+        return self.ring or self.ground
+
+    @property
+    def accepted_higher(self) -> bool:
+        return self.accepted is not None
+
+    @property
+    def remembers(self) -> bool:
+        """Whether this process has been there long enough to say what it promised."""
+        return self.desk.now - self.begun >= 2 * self.pact.lease_s
+
+    def say(self, to, kind, *words):
+        self.desk.send(to, kind(self.base.epoch, self.base.digest, *words))
+
+    # Time
+
+    def tick(self, live: dict, versions) -> None:
+        """`live`: name -> what has .name, .zone, .capacity, .life, .reads, .state; `versions(ring, live)` ->
+        (written, phase) of the epoch after `ring`."""
+        now, self.live = self.desk.now, live
+        if self.ring is None:
+            self.seek()
+        elif now >= self.ask_round:
+            self.ask_vouches()
+        if self.attempt:
+            self.press()
+        if now >= self.look_after:
+            self.look_after = now + min(0.5, self.pact.damp_s / 8) * (0.8 + 0.2 * self.desk.random.random())
+            self.look(versions)
+        self.pursue()
+
+    def look(self, versions):
+        """Sees whether another ring is wanted."""
+        now, base = self.desk.now, self.base
+        present = sum(name in self.live for name in base.names)
+        self.short = self.short + min(now - self.looked, 2.0) if present < base.majority else 0.0
+        self.looked = now
+        if self.short >= max(STUCK_S, 6 * self.pact.damp_s) and not self.told_stuck and base.seats:
+            self.told_stuck = True
+            kind = errors.RingStuck if self.ring else errors.NotFounded
+            trouble = kind(f"epoch {base.epoch}", f"{present} of {len(base.seats)} seats there")
+            self.desk.note("ring stuck", what=trouble.what, found=trouble.found, do=trouble.do)
+        new = self.wanted(versions) if self.ring else self.founding()
+        if new is None:
+            self.need, self.needed = None, inf
+        else:
+            self.need, self.needed = new, min(self.needed, now)
+
+    def wanted(self, versions) -> Ring | None:
+        ring, seats = self.ring, self.damper.wanted(self.live, self.ring, self.desk.now)
+        new = ring
+        if seats and seats != ring.by_name:
+            new = plan(ring, seats, self.pact.step_share)
+            if len(new.seats) > self.pact.most_agents:
+                self.desk.count("ring full")
+                new = ring
+        written, phase = versions(ring, self.live)
+        if new is ring and (written, phase) == (ring.written, ring.phase):
+            return None
+        return replace(new, epoch=ring.epoch + 1, written=written, phase=phase)
+
+    def founding(self) -> Ring | None:
+        """The first ring, once all seeds say that they know none; a majority is enough after damp_s more."""
+        now, names = self.desk.now, self.ground.names
+        if self.desk.name not in self.place or not self.remembers:
+            return None
+        fresh = [name for name in names
+                 if name == self.desk.name or now - self.blank.get(name, -inf) <= 2 * self.pact.lease_s]
+        late = now - self.begun >= 2 * self.pact.lease_s + self.pact.damp_s
+        if len(fresh) < self.ground.majority or len(fresh) < len(names) and not late:
+            return None
+        seats = [Seat(peer.name, peer.zone, peer.capacity) for _, peer in sorted(self.live.items())]
+        written = max((peer.reads[0] for peer in self.live.values()), default=1)
+        new = Ring(1, tuple(seats[:self.pact.most_agents]), max(1, written))
+        return new if sound(new, self.pact.most_agents) else None
+
+    def seek(self):
+        """Asks those who may know a ring, ever more rarely."""
+        if self.desk.now >= self.ask_round:
+            self.search = min(2.0, self.search * 1.5 or 0.2)
+            self.ask_round = self.desk.now + self.search * (0.5 + self.desk.random.random())
+            names = sorted((set(self.live) | set(self.pact.seeds)) - {self.desk.name})
+            few = self.desk.random.sample(names, min(3, len(names)))
+            if self.desk.name in self.place:
+                few += [name for name in self.ground.names if name not in few and name != self.desk.name]
+            for name in few:
+                self.say(name, Ask)
+
+    # A ballot of one's own
+
+    def pursue(self):
+        """Begins a ballot when one is needed and nobody of lower rank seems to."""
+        now, base = self.desk.now, self.base
+        if self.attempt or self.desk.name not in self.place or now < self.pause:
+            return
+        rest = self.since + self.pact.lease_s if self.ring else -inf
+        if self.accepted is None and (self.need is None or now < rest):
+            return
+        there = [name for name in base.names if name in self.live]
+        if len(there) < base.majority or self.desk.name not in there:
+            return
+        rank, unit = there.index(self.desk.name), max(0.3, 3 * self.pact.tick_s)
+        if self.accepted is None and now < self.needed + unit * min(rank, 8):
+            return
+        if rank > 8 or self.accepted:       # any of them may; they draw lots who goes first
+            many = len(there) if self.accepted else len(there) - 8
+            if self.desk.random.random() * many * unit > self.pact.tick_s:
+                return
+        if self.accepted:                   # to be ended, whoever is there: nobody is unseated by that
+            self.begin(self.accepted[1], ())
+        else:
+            wanted = step(base, self.need)
+            self.begin(wanted, wanted.gone)
+
+    def begin(self, wanted: Step, gone: tuple[str, ...]):
+        self.top = max(self.top, self.promised[0]) + 1
+        now = self.desk.now
+        self.attempt = Attempt(self.top, wanted, gone, now + self.pact.lease_s, now)
+        self.desk.count("ballots")
+        if self.remembers:
+            self.take_answer(self.desk.name, self.prepare(self.desk.name, self.top, gone))
+        self.press()
+
+    def press(self):
+        """Asks the voters that are silent, again and again until the ballot is over."""
+        now, attempt = self.desk.now, self.attempt
+        if attempt is None:
+            return
+        if now >= attempt.until:
+            self.give_up()
+        elif now >= attempt.again:
+            attempt.again = now + max(0.3, 3 * self.pact.tick_s)
+            for name in self.base.names:
+                if name == self.desk.name:
+                    continue
+                if not attempt.accepting and name not in attempt.promises and name not in attempt.refused:
+                    self.say(name, Prepare, attempt.number, attempt.gone)
+                if attempt.accepting and name in attempt.promises and name not in attempt.accepted:
+                    self.say(name, Accept, attempt.number, attempt.step)
+
+    def give_up(self):
+        self.attempt = None
+        self.pause = self.desk.now + self.backoff * (0.5 + self.desk.random.random())
+        self.backoff = min(2 * self.backoff, 4.0)
+
+    def take_answer(self, sender, words):
+        attempt = self.attempt
+        if attempt is None or words.number != attempt.number or sender not in self.place:
+            return self.desk.count("dropped answer to no ballot")
+        if self.desk.now >= attempt.until:      # stopped meanwhile, or slow: nobody counts on this ballot now
+            return self.give_up()
+        if isinstance(words, Refuse):
+            self.refused(attempt, sender, words)
+        elif isinstance(words, Promise):
+            self.promise_came(attempt, sender, words)
+        elif attempt.accepting and sender in attempt.promises:
+            attempt.accepted[sender] = True
+            if len(attempt.accepted) >= self.base.majority:
+                self.decided(attempt.step)
+
+    def refused(self, attempt, sender, words):
+        if 0 <= words.above < MOST_BALLOT:
+            self.top = max(self.top, words.above)
+        attempt.refused[sender] = words.why
+        if len(self.place) - len(attempt.refused) < self.base.majority:
+            self.desk.count("ballots refused")
+            self.give_up()
+
+    def promise_came(self, attempt, sender, words):
+        had = None
+        if words.ballot is not None:
+            if words.step is None or self.led_to(words.step) is None:
+                return self.desk.count("dropped malformed ring")
+            had = (tuple(words.ballot), words.step)
+        attempt.promises.setdefault(sender, had)
+        if attempt.accepting:
+            if sender != self.desk.name:
+                self.say(sender, Accept, attempt.number, attempt.step)
+        elif len(attempt.promises) >= self.base.majority:
+            attempt.accepting = True
+            before = [each for each in attempt.promises.values() if each is not None]
+            if before:      # it may be decided already: no other ring may be
+                attempt.step = max(before, key=lambda each: each[0])[1]
+            attempt.again = self.desk.now
+            if self.desk.name in attempt.promises:
+                self.take_answer(self.desk.name, self.accept(self.desk.name, attempt.number, attempt.step))
+            self.press()
+
+    def decided(self, taken: Step):
+        former, ring = self.base, self.led_to(taken)
+        self.learn(former, taken, ring)
+        for name in sorted({*former.names, *ring.names, *self.live} - {self.desk.name}):
+            self.desk.send(name, Next(taken))
+
+    # A voter
+
+    def prepare(self, sender, number, gone) -> Struct:
+        base = self.base
+        ballot = (number, sender)
+        why = ""
+        if not self.remembers:
+            why = "forgot"
+        elif ballot < self.promised:
+            why = "older"
+        elif any(name in self.live and self.live[name].state == 0 for name in gone):
+            why = "live"        # one witness is not enough to unseat an agent
+        if why:
+            return Refuse(base.epoch, base.digest, number, self.promised[0], why)
+        self.promised = ballot
+        if sender != self.desk.name:
+            while_it_lasts = self.pact.lease_s * (0.25 + 0.5 * self.desk.random.random())
+            self.pause = max(self.pause, self.desk.now + while_it_lasts)
+        return Promise(base.epoch, base.digest, number, *(self.accepted or (None, None)))
+
+    def accept(self, sender, number, wanted: Step) -> Struct | None:
+        base = self.base
+        if not self.remembers or (number, sender) < self.promised:
+            why = "older" if self.remembers else "forgot"
+            return Refuse(base.epoch, base.digest, number, self.promised[0], why)
+        if self.led_to(wanted) is None:
+            return self.desk.count("dropped malformed ring")
+        self.promised = number, sender
+        self.accepted = self.promised, wanted
+        if sender != self.desk.name:
+            self.pause = max(self.pause, self.desk.now + self.pact.lease_s / 2)
+        return Accepted(base.epoch, base.digest, number)
+
+    def led_to(self, taken: Step) -> Ring | None:
+        """The ring that a step leads to from the own one; None if it can't be used."""
+        return self.sound_step(self.base, taken)
+
+    def sound_step(self, former, taken):
+        try:
+            ring = stepped(former, taken)
+        except ValueError:
+            return None
+        return ring if ring.epoch == former.epoch + 1 and sound(ring, self.pact.most_agents) else None
+
+    # Decided rings
+
+    def learn(self, former: Ring, taken: Step, ring: Ring):
+        """Takes over a decided ring if it's newer than the own one, or its twin and of lower digest."""
+        own = self.base
+        if ring.epoch < own.epoch or ring.digest == own.digest:
+            return
+        if ring.epoch == own.epoch:
+            if ring.digest not in self.twins and len(self.twins) < OWED:
+                self.twins[ring.digest] = True
+                both = f"{own.digest.hex()} and {ring.digest.hex()}"
+                trouble = errors.EpochTwice(f"epoch {own.epoch}", both)
+                self.desk.note("epoch twice", what=trouble.what, found=trouble.found, do=trouble.do)
+            if ring.digest > own.digest:
+                return
+        owed = self.owed
+        self.ring, self.former = ring, former if former.epoch else None
+        self.last_step, self.last_former = taken, former
+        self.since, self.version = self.desk.now, self.version + 1
+        self.short, self.told_stuck = 0.0, False
+        self.renew()
+        for sender, words in owed.items():
+            if (words.has, words.mark) == (ring.epoch, ring.digest):
+                self.vouch(sender, words)
+        self.ask_vouches()
+
+    def tell(self, to, words):
+        """The decided ring for one that asked: the step alone if that's all it lacks."""
+        if (words.has, words.mark) == (self.last_former.epoch, self.last_former.digest):
+            self.desk.send(to, Next(self.last_step))
+        else:
+            self.desk.send(to, Whole(self.last_former, self.last_step))
+
+    def ask(self, sender):
+        if self.desk.now >= self.ask_after:
+            self.ask_after = self.desk.now + 0.1 + 0.1 * self.desk.random.random()
+            self.say(sender, Ask)
+
+    # Vouching
+
+    def ask_vouches(self):
+        """Asks few, about as many as the square root of the seats. They pass on whom they heard, with ages:
+        two rounds bring a majority. In a small ring the few are a majority and a spare by themselves."""
+        now, ring, third = self.desk.now, self.ring, self.pact.lease_s / 3
+        self.ask_round = now + (third if self.sure() else min(self.eager, third))
+        self.eager *= 2
+        self.choose_targets(ring)
+        self.round += 1
+        self.rounds[self.round] = now
+        self.rounds.pop(self.round - 8, None)
+        for name in self.targets:
+            self.targets[name] += 1
+            self.say(name, Vouch, self.round)
+
+    def choose_targets(self, ring):
+        others = len(ring.seats) - (self.desk.name in self.place)
+        many = min(others, ring.majority + 1 - (self.desk.name in self.place),
+                   ceil(1.5 * sqrt(len(ring.seats))) + 2)
+        kept = {name: vain for name, vain in self.targets.items()
+                if name in self.place and name in self.live and vain < 2}
+        self.targets = dict(list(kept.items())[:many])
+        for where in (self.live, ()):       # first those that are live, then any
+            if len(self.targets) < many:
+                left = [name for name in ring.names if name != self.desk.name and name not in self.targets
+                        and (not where or name in where)]
+                more = self.desk.random.sample(left, min(len(left), many - len(self.targets)))
+                self.targets |= dict.fromkeys(more, 0)
+
+    def vouch(self, sender, words: Vouch):
+        now, unit = self.desk.now, ceil(self.pact.lease_s * 1000 / AGES)
+        scale, lease = (1 + self.pact.clock_drift) * 1000 / unit, self.pact.lease_s
+        ages = bytearray(min(UNHEARD, ceil((now - at) * scale)) if now - at < lease else UNHEARD
+                         for at in self.heard_at)
+        own = self.place.get(self.desk.name)
+        if own is not None:
+            ages[own] = 0 if self.remembers and not self.accepted_higher else UNHEARD
+        self.say(sender, Vouched, words.round, unit, bytes(ages))
+
+    def vouched(self, sender, words: Vouched):
+        asked = self.rounds.get(words.round)
+        if asked is None or len(words.ages) != len(self.heard_at) or not 0 < words.unit_ms <= 10_000:
+            return self.desk.count("dropped vouch")
+        if sender in self.targets:
+            self.targets[sender] = 0
+        unit, when = words.unit_ms / 1000, self.heard_at
+        for place, age in enumerate(words.ages):
+            if age != UNHEARD and asked - age * unit > when[place]:
+                when[place] = asked - age * unit
+        self.kth = None
+
+    @property
+    def sure_until(self) -> float:
+        """Local time until which this agent may count on its epoch: lease_s after the moment since which a
+        majority of the seats have vouched for it. -inf: not at all."""
+        ring, own = self.ring, self.place.get(self.desk.name)
+        if ring is None or self.accepted_higher:
+            return -inf
+        need = ring.majority - (own is not None and self.remembers)
+        if need <= 0:
+            return self.desk.now + self.pact.lease_s
+        if self.kth is None:
+            others = (at for place, at in enumerate(self.heard_at) if place != own)
+            best = nlargest(need, others)
+            self.kth = best[-1] if len(best) == need else -inf
+        return self.kth + self.pact.lease_s
+
+    def sure(self) -> bool:
+        return self.desk.now < self.sure_until
+
+    # What comes in
+
+    def heard(self, sender: str, words: Struct) -> None:
+        if isinstance(words, Next):
+            self.next_came(sender, words)
+        elif isinstance(words, Whole):
+            self.whole_came(words)
+        elif self.like_me(sender, words):
+            kind = type(words)
+            if kind is Vouch:
+                self.vouch(sender, words)
+            elif kind is Vouched:
+                self.vouched(sender, words)
+            elif kind is Ask:
+                self.say(sender, Has)
+            elif kind is Has:
+                if words.has == 0:
+                    self.blank[sender] = self.desk.now
+            elif kind in (Prepare, Accept):
+                self.vote(sender, words)
+            else:
+                self.take_answer(sender, words)
+
+    def like_me(self, sender, words) -> bool:
+        """Whether the sender's ring is the own one; if not, whoever is behind gets to know."""
+        base = self.base
+        if not 0 <= words.has <= (base.epoch + FAR if self.ring else MOST_EPOCH):
+            self.desk.count("dropped far epoch")
+            return False
+        if words.has == base.epoch and words.mark == base.digest:
+            return True
+        if words.has < base.epoch:
+            if isinstance(words, Ask):
+                self.tell(sender, words)
+            else:
+                self.desk.count("dropped older epoch")
+                self.say(sender, Has)
+        elif words.has > base.epoch:
+            if isinstance(words, Vouch) and len(self.owed) < OWED:
+                self.owed[sender] = words
+            self.ask(sender)
+        elif base.epoch:        # twins: each asks, each tells
+            if isinstance(words, Ask):
+                self.tell(sender, words)
+            self.ask(sender)
+        else:
+            self.desk.count("other seeds")
+        return False
+
+    def next_came(self, sender, words):
+        taken = words.step
+        if taken.base == self.base.digest:
+            ring = self.led_to(taken)
+            if ring is None:
+                return self.desk.count("dropped malformed ring")
+            self.learn(self.base, taken, ring)
+        elif self.base.epoch <= taken.epoch <= (self.base.epoch + FAR if self.ring else MOST_EPOCH):
+            if taken != self.last_step:
+                self.ask(sender)
+        else:
+            self.desk.count("dropped older epoch" if taken.epoch < self.base.epoch else "dropped far epoch")
+
+    def whole_came(self, words):
+        former, base, most = words.former, self.base, self.pact.most_agents
+        if not 0 <= former.epoch < (base.epoch + FAR if self.ring else MOST_EPOCH):
+            return self.desk.count("dropped far epoch")
+        ring = self.sound_step(former, words.step)
+        if ring is None or former.epoch and not sound(former, most):
+            return self.desk.count("dropped malformed ring")
+        self.learn(former, words.step, ring)
+
+    def vote(self, sender, words):
+        if sender not in self.place or not 0 < words.number < MOST_BALLOT:
+            return self.desk.count("dropped ballot")
+        if isinstance(words, Prepare):
+            answer = self.prepare(sender, words.number, words.gone)
+        else:
+            answer = self.accept(sender, words.number, words.step)
+        if answer is not None:
+            self.desk.send(sender, answer)
