--- a/cartdeal/fleet/errors.py
+++ b/cartdeal/fleet/errors.py
@@ -84,7 +84,7 @@
 
 
 class UnknownWords(Unreadable):
-    """Words under the right digest that this program can't read: they are passed over, their sender is not."""
+    """Words under the right digest that this program can't read: they are passed over, their sender isn't."""
 
     do = "look which program that agent runs; in a rolling upgrade it ends with the upgrade"
 
--- a/cartdeal/fleet/schema.py
+++ b/cartdeal/fleet/schema.py
@@ -82,8 +82,8 @@
         marks = _listed(text.pop("marks", []), "marks", MOST_MARKS)
         for each in marks:
             _add(record, _mark(each))
-        by = text.pop("by", {}) if knows >= 2 else {}
-        if by and records.differ(by, _grouped(marks)):      # mostly they say the same, and one reading will do
+        by = _mapped(text.pop("by", {}), "by", MOST_MARKS) if knows >= 2 else {}
+        if by and records.differ(by, _grouped(marks)):      # else they say the same: reading one will do
             for name, each in _ungrouped(by):
                 _add(record, _mark(each, name))
         record.extra = text
@@ -117,7 +117,7 @@
 
 
 def moved(ring, left: int) -> int:
-    """What an agent says of itself (Peer.moved): the version that all it keeps is in; `left` are yet to move."""
+    """What an agent says of itself (Peer.moved): the version that all it keeps is in; `left`: yet to move."""
     return governs(ring.written, ring.phase) if left else forms(ring.written, ring.phase)[-1]
 
 
@@ -129,8 +129,8 @@
     stopped. Two that see different agents may answer differently; the agreement on the ring's epoch decides.
 
     Forward: all live agents can read the next version, and a majority of the seats is live; to narrow, every
-    seat, absent or not, has moved. Back, until narrowed: a live agent can't read it (one without a seat may get
-    one in the same epoch, so it counts), or the operator holds the version.
+    seat, absent or not, has moved. Back, until narrowed: a live agent can't read it (also one without a seat,
+    which may get one in the same epoch), or the operator holds the version.
     """
     target = ring.written + 1
     seats = [live.get(seat.name) for seat in ring.seats]
@@ -249,10 +249,10 @@
     return by
 
 
-def _ungrouped(value):
+def _ungrouped(value: dict):
     """(group's name, mark's fields) of version 2's form."""
     left = MOST_MARKS
-    for name, each in sorted(_mapped(value, "by", MOST_MARKS).items()):
+    for name, each in sorted(value.items()):
         left -= len(_listed(each, "marks of a group", left))
         for mark in each:
             yield name, mark
