Lend tenants' limits by escrow: buckets at the owners, leased loans at the holders

A first working version: rate and burst on loan (version 2), whole amounts by the owner's period (version 1).

--- /dev/null
+++ b/cartdeal/fleet/buckets.py
@@ -0,0 +1,342 @@
+"""The arithmetic of lent limits: who may lend how much since when, an owner's bucket and what it has on loan.
+
+It is pure: it sends nothing and reads no clock, and all times are one agent's own. A bucket must never hold,
+together with all that may still be on loan from it, more than its owner's share of the burst, or fill,
+together with all rates on loan, faster than its share of the rate.
+
+The loans are O'Neil's escrow (1986) and the rights of Balegas et al.'s bounded counters (2015), with a lease
+on each (Gray & Cheriton 1989); a bucket with a refill is GCRA's (ATM Forum TM 4.0); parts are max-min fair
+(water-filling).
+"""
+
+from math import exp, floor, inf
+
+from msgspec import Struct
+
+STEPS = 16          # rings that are remembered; older ones count as unknown, and with them nothing is lent
+CRUMB = 1e-9        # what is less than this is rounding
+
+
+def waterfill(total: float, wants: list[float]) -> list[float]:
+    """Max-min fair parts of `total`, none over its want, in the order of the wants."""
+    parts, left = [0.0] * len(wants), max(total, 0.0)
+    for place, i in enumerate(sorted(range(len(wants)), key=lambda i: (wants[i], i))):
+        parts[i] = min(wants[i], left / (len(wants) - place))
+        left -= parts[i]
+    return parts
+
+
+class Demand:
+    """Lookups a second, averaged over `over_s`."""
+
+    def __init__(self, over_s: float):
+        self.over_s, self.rate, self.at = over_s, 0.0, -inf
+
+    def now(self, now: float) -> float:
+        return self.rate * exp(-max(now - self.at, 0.0) / self.over_s) if self.rate else 0.0
+
+    def mark(self, now: float):
+        self.rate, self.at = self.now(now) + 1 / self.over_s, now
+
+
+class Step:
+    """A ring in force here from `at` to `end`; None: a time of which nothing is known. `proven`: the last
+    time that a majority was known to have stayed with it."""
+
+    def __init__(self, number: int, ring, at: float):
+        self.number, self.ring, self.at, self.end, self.proven = number, ring, at, inf, -inf
+
+
+class Tenure:
+    """Which share of a key's limit its agent may lend: the least by all rings in force within the last fence.
+
+    A ring not heard of may have had other owners, who still lend. So after a gap in the epochs, as after a
+    start, the share is nought for one fence.
+    """
+
+    def __init__(self, start: float, fence: float, share_in):
+        self.fence, self.share_in = fence, share_in     # share_in(ring, key) -> share, 0 to 1
+        self.steps = [Step(0, None, start)]
+
+    @property
+    def step(self) -> Step:
+        return self.steps[-1]
+
+    def learn(self, ring, former, now: float):
+        """`former`: the ring of the epoch before, where that is known."""
+        had = self.step.ring
+        if had is None and len(self.steps) == 1 and ring.epoch == 1:
+            # No ring was before the first, so the fence is about the own earlier life and counts from the
+            # start.
+            self.add(ring, now)
+            self.steps[0].end = self.steps[0].at
+            return
+        if had is None or had.epoch + 1 != ring.epoch or former is not None and former != had:
+            if had is None or former is None or not had.epoch + 1 == former.epoch == ring.epoch - 1:
+                former = None
+            self.add(former, now)
+        self.add(ring, now)
+
+    def add(self, ring, now: float):
+        self.step.end = now
+        self.steps.append(Step(self.step.number + 1, ring, now))
+        if len(self.steps) > STEPS:
+            del self.steps[0]
+            self.steps[0].ring = None
+
+    def prove(self, now: float):
+        self.step.proven = now
+
+    def share(self, key: bytes, t: float) -> tuple[float, float]:
+        """The share at `t`, and until when it stays so if no ring comes."""
+        low, until = inf, inf
+        for step in reversed(self.steps):
+            if step.at > t:
+                continue
+            gone = step.end + self.fence
+            if gone <= t:
+                break
+            until = min(until, gone)
+            low = min(low, self.share_in(step.ring, key) if step.ring is not None else 0.0)
+        return (0.0, inf) if low == inf else (low, until)
+
+
+class Loan:
+    """Counted by the owner until `until`, or until its holder says that it has it no more. `whole`: tokens
+    given in this period, where amounts are whole."""
+
+    def __init__(self, number: int, rate: float, burst: float, until: float, whole: int = 0):
+        self.number, self.rate, self.burst, self.until, self.whole = number, rate, burst, until, whole
+
+
+class Holder:
+    """An owner's book on one life of one agent. `sequence`: its last word heard."""
+
+    def __init__(self):
+        self.sequence, self.demand, self.heard, self.loans = 0, 0.0, -inf, []
+
+
+class Given(Struct):
+    """What an owner answers: (rate, burst) from now on, `tokens` at once; `wait`: when to come back for
+    more."""
+
+    number: int = 0
+    how: int = 0
+    rate: float = 0.0
+    burst: float = 0.0
+    tokens: float = 0.0
+    left: float = 0.0
+    period: int = 0
+    wait: float = 0.0
+
+
+PERIOD, REFILL, PIECE = 1, 2, 3     # Given.how; 0: nothing
+ASK_ANY, ASK_WHOLE, ASK_PIECE = 0, 1, 2     # what a holder can use: anything, whole amounts, no standing loan
+
+RESERVE = 1 / 16    # of the rate, never lent: it fills the bucket, for newcomers
+ROOM = 1.25         # of its demand, lent to a holder that asks for no more
+PIECEMEAL = 2.0     # with less than so many tokens of burst for each holder, single tokens are lent
+
+
+class Bucket:
+    """An owner's part of one tenant's limit. `tokens`: to be lent; by periods (version 1): earned for the
+    next one, and `ready` those of this one. Filled up to `at`, never beyond the time for which the ring is
+    proven."""
+
+    def __init__(self, key: bytes, limit, tenure: Tenure, pact, version: int):
+        self.key, self.tenure, self.version = key, tenure, version
+        self.lease, self.drift, self.period_s = pact.lease_s, 1 + pact.clock_drift, pact.period_s
+        self.counted_s = self.lease * self.drift + 0.01     # the slowest clock's lease
+        self.holders: dict[tuple[str, int], Holder] = {}
+        self.tokens = self.ready = 0.0
+        self.step, self.at, self.period = tenure.steps[0].number, tenure.steps[0].at, -1
+        self.ends = inf                 # of the period
+        self.rival = ((), -inf)         # who is preferred for parts of a token, since when
+        self.limited(limit)
+
+    def limited(self, limit):
+        """A fast clock fills faster: rates are divided by what it may gain."""
+        self.rate, self.burst = limit.rate / self.drift, limit.burst
+
+    # Filling
+
+    def counted(self, but: Holder | None = None) -> tuple[float, float]:
+        """Rate and burst on loan. A holder has one loan of those that it may have, at most."""
+        rate = burst = 0.0
+        for holder in self.holders.values():
+            if holder is not but and holder.loans:
+                rate += max(loan.rate for loan in holder.loans)
+                burst += max(loan.burst for loan in holder.loans)
+        return rate, burst
+
+    def most(self, share: float, burst: float) -> float:
+        if self.version == 1:
+            return share * self.rate * self.period_s + 1 if share else 0.0
+        return max(share * self.burst - burst, 0.0)
+
+    def fill(self, to: float):
+        steps = self.tenure.steps
+        if self.step < steps[0].number:     # rings went by unseen: what it held may be another owner's now
+            self.tokens = self.ready = 0.0
+            self.step, self.at = steps[0].number, max(self.at, steps[0].at)
+        for step in steps:
+            if step.number > self.step:
+                if step.at > to:
+                    break
+                # What wasn't proven before the ring changed is not counted at all.
+                self.step, self.at = step.number, max(self.at, step.at)
+                share, _ = self.tenure.share(self.key, step.at)
+                self.tokens = min(self.tokens, self.most(share, self.counted()[1]))
+                self.ready = min(self.ready, floor(self.most(share, 0.0))) if self.version == 1 else 0.0
+            if step.number == self.step:
+                self.earn(min(step.proven, to))
+
+    def earn(self, to: float):
+        while self.at < to:
+            ends = inf
+            for holder in self.holders.values():
+                if holder.loans:
+                    holder.loans = [loan for loan in holder.loans if loan.until > self.at]
+                    ends = min([ends, *(loan.until for loan in holder.loans)])
+            share, until = self.tenure.share(self.key, self.at)
+            rate, burst = self.counted()
+            end = min(to, until, ends)
+            earned = max(share * self.rate - rate, 0.0) * (end - self.at)
+            self.tokens, self.at = min(self.tokens + earned, self.most(share, burst)), end
+
+    def touch(self, now: float, period: int, starts: float, version: int):
+        """Brings it to `now`. `period`: the owner's, that began at `starts`; `version`: what is to be
+        written, from the end of the period in which it was heard of."""
+        if period != self.period:
+            self.fill(starts)
+            self.turn(period, version)
+            self.ends = starts + self.period_s
+        self.fill(now)
+
+    def turn(self, period: int, version: int):
+        """A period's end. What was earned in one can be lent in the next, in whole tokens; what nobody asked
+        for then is gone, except the one of a tenant that earns less than one in a period."""
+        was, self.version, self.period = self.version, version, period
+        share, _ = self.tenure.share(self.key, self.at)
+        _, burst = self.counted()
+        if version == 1:
+            whole = share * self.rate * self.period_s
+            earned = min(self.tokens + (self.ready if was == 1 and whole < 1 else 0.0), whole + 1)
+            if burst:   # still on loan from before periods were counted
+                earned = min(earned, max(share * self.burst - burst, 0.0))
+            self.ready = float(floor(earned + CRUMB))
+            self.tokens = max(earned - self.ready, 0.0)
+        else:
+            self.tokens, self.ready = min(self.tokens, self.most(share, burst)), 0.0
+
+    # Lending
+
+    def book(self, name: str, life: int) -> Holder:
+        found = self.holders.get((name, life))
+        if found is None:
+            found = self.holders[name, life] = Holder()
+        return found
+
+    def tidy(self, now: float):
+        for key in [key for key, holder in self.holders.items()
+                    if not any(loan.until > self.at for loan in holder.loans)
+                    and holder.heard < now - 2 * self.lease]:
+            del self.holders[key]
+
+    def returned(self, holder: Holder, number: int, tokens: float, now: float):
+        """The holder has let all loans go but this one's remains, which come back; a second time finds no
+        loan."""
+        loan = next((loan for loan in holder.loans if loan.number == number), None)
+        holder.loans = []
+        share, _ = self.tenure.share(self.key, now)
+        if loan is not None and loan.until > now:
+            if self.version != 1:
+                self.tokens = min(self.tokens + tokens, self.most(share, self.counted()[1]))
+            elif loan.whole:
+                self.ready += min(floor(tokens + CRUMB), loan.whole)
+        # What fills from now on fills without these loans; so nothing before now may be counted later.
+        self.at = max(self.at, now)
+
+    def lend(self, who: str, holder: Holder, ask, now: float, number: int) -> Given:
+        """`ask`: see lending.Ask; the bucket is at `now`, and its ring is proven."""
+        holder.sequence, holder.demand, holder.heard = ask.sequence, ask.demand, now
+        holder.loans = kept = [loan for loan in holder.loans if loan.number == ask.holds and loan.until > now]
+        self.tidy(now)
+        share, _ = self.tenure.share(self.key, now)
+        if self.version == 1:
+            return self.lend_whole(holder, kept, ask, now, number, share)
+        rate, burst = share * self.rate, share * self.burst
+        others, lent = self.counted(but=holder)
+        top = 0.0
+        if kept:
+            top = min(ask.top, ask.most)
+            kept[0].burst = min(kept[0].burst, ask.most)
+            self.tokens += ask.back
+        mine = kept[0].burst if kept else 0.0
+        self.tokens = max(min(self.tokens, burst - lent - mine), 0.0)
+        active = [each for each in self.holders.values() if each.heard > now - self.lease]
+        if ask.mode != ASK_ANY or self.burst < PIECEMEAL * (len(active) + 1):
+            given = self.piece(who, kept, ask, share, burst - lent, top)
+        else:
+            given = self.standing(holder, active, ask, rate, others, burst, lent, mine, top)
+        if given.tokens < ask.waits:
+            given.wait = self.lease / 8
+            if not given.rate:
+                given.wait = max(share - self.tokens, 0.0) / rate if rate else inf
+        if given.how:
+            self.tokens = max(min(self.tokens - given.tokens, burst - lent - max(mine, given.burst)), 0.0)
+            given.number, given.left = number, self.lease
+            holder.loans = [*kept, Loan(number, given.rate, given.burst, now + self.counted_s)]
+        return given
+
+    def piece(self, who, kept, ask, share, room, top) -> Given:
+        """Single tokens, for lookups that wait: no rate, and a cap of just what was given."""
+        # A token may have to be put together from the parts of several owners. Were each to serve whom it
+        # heard first, two holders would get parts that neither can use: all prefer the one that had least of
+        # late.
+        rank, (best, since) = (ask.had, who), self.rival
+        tokens = min(self.tokens, ask.waits, room - top)
+        if ask.mode == ASK_WHOLE:
+            tokens = floor(tokens + CRUMB)
+        if self.at - since >= self.lease / 8:
+            best = ()
+        if best and best < rank and self.tokens - tokens < min(1.0, room):
+            tokens = 0.0
+        elif tokens < min(ask.waits, 1.0):
+            if not best or rank <= best:
+                self.rival = (rank, self.at)
+        elif best and best[1] == who:
+            self.rival = ((), -inf)
+        if tokens <= CRUMB:
+            return Given()
+        return Given(how=PERIOD if ask.mode == ASK_WHOLE else PIECE, tokens=tokens, burst=top + tokens)
+
+    def standing(self, holder, active, ask, rate, others, burst, lent, mine, top) -> Given:
+        """A rate by demand, a cap to go with it, and what the bucket has for it at once."""
+        least = 0.05 * rate / len(active)
+        fair = waterfill((1 - RESERVE) * rate, [ROOM * each.demand + least for each in active])
+        part = fair[active.index(holder)]
+        room = burst - lent
+        tokens = self.tokens if ask.waits >= 1 or not mine else self.tokens / 2
+        tokens = max(min(tokens, max(ask.want, ask.waits), room - top), 0.0)
+        # The cap comes out of what the bucket could not fill with the tokens it has: none is spilt by it.
+        cap = part / (sum(fair) or 1.0) * burst * len(active) / (len(active) + 1)
+        cap = max(top + tokens, min(cap, room - (self.tokens - tokens)))
+        part = max(min(part, rate - others), 0.0)
+        if tokens <= CRUMB and (part <= CRUMB or cap <= CRUMB):
+            return Given()
+        return Given(how=REFILL, rate=part, burst=min(cap, room), tokens=tokens)
+
+    def lend_whole(self, holder, kept, ask, now, number, share) -> Given:
+        ends = self.ends
+        fair = max(1, -(-int(self.ready) // 2))
+        tokens = min(int(self.ready), max(-int(-ask.waits // 1), min(-int(-ask.want // 1), fair)))
+        if tokens < 1:
+            return Given(wait=max(ends - now, 0.0) if share * self.rate * self.period_s >= 1
+                         else max((1 - self.tokens) / max(share * self.rate, 1e-6), ends - now))
+        self.ready -= tokens
+        had = sum(loan.whole for loan in kept)
+        kept = [loan for loan in kept if not loan.whole]
+        holder.loans = [*kept, Loan(number, 0.0, 0.0, ends, had + tokens)]
+        # By the slowest clock, too, it is over when the period is.
+        return Given(number, PERIOD, tokens=float(tokens), left=(ends - now) / self.drift, period=self.period)
