--- a/cartdeal/fleet/desk.py
+++ b/cartdeal/fleet/desk.py
@@ -1,4 +1,4 @@
-"""What the parts of the fleet agree on: what an operator asks of it, and what each part is given to work with.
+"""What the parts of the fleet agree on: what an operator asks, and what each part is given to work with.
 
 It owns no state. A part must never reach past its desk to a clock, a socket or another part.
 """
@@ -30,13 +30,15 @@
     copies: int = 3
     write_by: int = 2                       # owners that have it when a mark counts as written
     read_by: int = 2
-    on_doubt: str = "turn_back"             # or "terminate", "first_only"
+    on_doubt: str = "turn_back"             # or "terminate": a lookup whose session can't be known in time
+    limit_doubt: str = "turn_back"          # or "serve": a tenant whose owners can't be asked in time
+    clients_mark: bool = False              # whether clients mark all their repeats, so that others are new
     wait_s: float = 0.05                    # the longest a lookup waits for the fleet
     lease_s: float = 2.0
     period_s: float = 1.0
     longest_mark_s: float = 30.0            # the longest window and time limit together
-    clock_ahead_s: float = 2.0              # a clock further ahead than this is not believed
-    clock_drift: float = 0.01               # how much faster one monotonic clock may run than another, as a share
+    clock_ahead_s: float = 0.5              # a clock further ahead than this is not believed
+    clock_drift: float = 0.01               # how much faster one monotonic clock may run than another
     tick_s: float = 0.1
     probe_s: float = 0.5                    # one probe of a peer in so long
     suspect_s: float = 2.0
@@ -53,7 +55,7 @@
 
 
 class Desk(Protocol):
-    """What a part may use. `now`: local monotonic seconds of the event being handled; `wall`: the wall clock's."""
+    """What a part may use. `now`: local monotonic seconds of the event being handled; `wall`: the fleet's time."""
 
     now: float
     wall: float
--- /dev/null
+++ b/cartdeal/fleet/memory.py
@@ -0,0 +1,329 @@
+"""The in-memory fleet: the same nodes by the emulator's clock, with a network that drops, delays, doubles,
+reorders and cuts one way, clocks apart, and agents that are killed, stopped and started from nothing.
+
+Messages go through wire.py as they do on sockets. It must never use another path into a node than its events,
+nor hand the judge what a node thinks.
+"""
+
+from collections import Counter
+from typing import NamedTuple
+
+import msgspec
+
+from cartdeal.emulator.clock import Clock, chance
+from cartdeal.fleet import wire
+from cartdeal.fleet.desk import Pact
+from cartdeal.fleet.judge import Judge
+from cartdeal.fleet.node import Node
+from cartdeal.fleet.verdict import Question
+
+IN_SOCKETS = 2_000      # messages that the sockets of a stopped agent hold
+CELLS = 2               # of each zone, where servers stand
+
+
+class Weather(msgspec.Struct):
+    """What the network does to messages; shares 0 to 1, times in seconds."""
+
+    lose: float = 0.0
+    double: float = 0.0
+    least_s: float = 0.001
+    jitter_s: float = 0.002
+    late: float = 0.0           # so many messages ...
+    late_s: float = 5.0         # ... come up to so late
+
+
+class Client(NamedTuple):
+    """One that wants one effect and comes again when its agent dies or turns it back."""
+
+    intent: str
+    question: Question
+    tries: int
+    agents: tuple[str, ...]
+    work_s: float
+    patience_s: float
+
+
+class Place:
+    """Where an agent runs: its process, its clocks, its sockets."""
+
+    def __init__(self, fleet, pact: Pact):
+        self.fleet, self.pact = fleet, pact
+        self.node: Node | None = None
+        self.starts, self.stopped, self.held = 0, False, []
+        self.rate, self.skew = 1.0, 0.0     # of its monotonic clock; of its wall clock
+        self.born = 0.0
+        self.tickets: dict[int, tuple] = {}
+        self.issued = 0
+
+    @property
+    def runs(self) -> bool:
+        return self.node is not None and not self.stopped
+
+    def clocks(self, node: Node):
+        node.now = max(node.now, 1000.0 + (self.fleet.clock.now - self.born) * self.rate)
+
+    def start(self):
+        fleet = self.fleet
+        self.starts, self.stopped, self.born, self.held = self.starts + 1, False, fleet.clock.now, []
+        self.tickets = {}
+        wall = 1_700_000_000.0 + fleet.clock.now + self.skew
+        self.node = Node(self.pact, f"{fleet.seed}/{self.starts}", 1000.0, wall)
+        self.carry_out(self.node)
+        self.tick(self.node)
+
+    def kill(self):
+        self.node, self.stopped, self.held = None, False, []
+        for client, tries in list(self.tickets.values()):
+            self.fleet.broke_off(client, tries, self.pact.name)
+        self.tickets = {}
+
+    def stop(self):
+        self.stopped = True
+
+    def go_on(self):
+        self.stopped, held, self.held = False, self.held, []
+        if self.node:
+            for do, *args in held:
+                do(*args)
+            self.tick(self.node, once=True)
+
+    def tick(self, node: Node, once: bool = False):
+        if self.node is not node:
+            return
+        if not self.stopped:
+            self.play(node.tick)
+        if not once:
+            pause = self.pact.tick_s * (0.9 + 0.2 * self.fleet.random.random()) / self.rate
+            self.fleet.clock.after(pause, self.tick, node)
+
+    def play(self, event, *args):
+        """One event into the node. One that is stopped gets it when it goes on."""
+        node = self.node
+        if node is None:
+            return
+        if self.stopped:
+            if len(self.held) < IN_SOCKETS:
+                self.held.append((self.play, event, *args))
+            return
+        self.clocks(node)
+        event(*args)
+        self.carry_out(node)
+
+    def carry_out(self, node: Node):
+        asked, node.asked = node.asked, []
+        for verb, *args in asked:
+            if verb == "send":
+                self.fleet.carry(self, node, *args)
+            elif verb == "decided":
+                self.fleet.decided(self, *args)
+            else:
+                self.fleet.notes.append((self.fleet.clock.now, self.pact.name, *args))
+                self.fleet.noted[args[0]] += 1
+
+
+class Memory:
+    """A fleet. `pact` is what all share; each agent gets its own name, zone, capacity."""
+
+    def __init__(self, pact: Pact, seed: int, weather: Weather | None = None):
+        self.pact, self.seed, self.clock = pact, seed, Clock()
+        self.random, self.fates = chance(seed, "fleet"), chance(seed, "weather")
+        self.weather = weather or Weather()
+        self.judge = Judge(pact.limits)
+        self.places: dict[str, Place] = {}
+        self.cuts: set[tuple[str, str]] = set()     # (from, to) that nothing passes
+        self.count, self.noted, self.notes = Counter(), Counter(), []
+        self.bytes = Counter()
+        self.outcomes: dict[str, list[str]] = {}
+        self.waits: list[float] = []
+        self.intents = 0
+
+    # Agents
+
+    def add(self, name: str, zone: str = "", start: bool = True, **changes) -> Place:
+        pact = msgspec.structs.replace(self.pact, name=name, address=f"10.0.0.1:{len(self.places) + 1}",
+                                       zone=zone, **changes)
+        self.places[name] = place = Place(self, pact)
+        if start:
+            place.start()
+        return place
+
+    def kill(self, name):
+        self.places[name].kill()
+
+    def start(self, name, **changes):
+        place = self.places[name]
+        place.pact = msgspec.structs.replace(place.pact, **changes)
+        place.start()
+
+    def leave(self, name):
+        """SIGTERM: it hands over, says goodbye, and ends."""
+        place = self.places[name]
+        place.play(place.node.leaving)
+        self.clock.after(1.0, self.part, place, place.node)
+
+    def part(self, place, node):
+        if place.node is node:
+            place.play(node.parting)
+            self.clock.after(0.1, lambda: place.node is node and place.kill())
+
+    def cut(self, *sides):
+        """Nothing passes between the sides, either way."""
+        for here in sides:
+            for there in sides:
+                if here is not there:
+                    self.cuts |= {(a, b) for a in here for b in there}
+
+    def deafen(self, speakers, listeners):
+        """One way: listeners don't hear speakers."""
+        self.cuts |= {(a, b) for a in speakers for b in listeners}
+
+    def heal(self):
+        self.cuts = set()
+
+    def run(self, seconds: float):
+        self.clock.run(self.clock.now + seconds)
+        return self
+
+    # The network
+
+    def carry(self, place, node, to, address, words):
+        weather, fates = self.weather, self.fates
+        raw = wire.encode(place.pact, node.name, node.life, node.address, int(node.wall * 1e3), words)
+        datagram = type(words).DATAGRAM
+        self.count["messages"] += 1
+        self.count[type(words).__struct_config__.tag] += 1
+        self.bytes[node.name] += len(raw)
+        target = self.places.get(to)
+        if target is None or target.pact.address != address or (node.name, to) in self.cuts:
+            return
+        for _ in range(1 + (fates.random() < weather.double)):
+            # A stream that breaks loses what is on its way, a datagram is just lost.
+            if fates.random() < weather.lose * (1.0 if datagram else 0.3):
+                continue
+            delay = weather.least_s + weather.jitter_s * fates.random()
+            if weather.late and fates.random() < weather.late:
+                delay += weather.late_s * fates.random()
+            self.clock.after(delay, self.arrive, to, raw, target.starts, node.name)
+
+    def arrive(self, to, raw, starts, sender):
+        place = self.places[to]
+        if place.node is None or (sender, to) in self.cuts:
+            return
+        heard = wire.decode(place.pact, raw)
+        place.play(place.node.heard, *heard)
+
+    # Clients
+
+    def intend(self, question: Question, agents, tries=1, work_s=0.05, patience_s=1.0) -> str:
+        """A client wants one effect; it comes to the first of the agents, then to the next."""
+        self.intents += 1
+        intent = f"i{self.intents}"
+        self.outcomes[intent] = []
+        self.judge.intended(intent, question.repeat, question.group, question.window_s)
+        self.come(Client(intent, question, tries, tuple(agents), work_s, patience_s), 0)
+        return intent
+
+    def come(self, client: Client, turn: int):
+        place = self.places[client.agents[turn % len(client.agents)]]
+        if place.node is None:
+            return self.broke_off(client, turn, place.pact.name)
+        place.issued += 1
+        ticket = place.issued
+        place.tickets[ticket] = client, turn
+        question = client.question
+        if turn:
+            question = msgspec.structs.replace(question, retried=True)
+        asked_at, node = self.clock.now, place.node
+        self.clock.after(client.patience_s, self.run_out, place, node, ticket)
+        place.play(node.ask, ticket, question)
+        self.asked_at = asked_at
+
+    def run_out(self, place, node, ticket):
+        """The client waits no longer; it comes again elsewhere."""
+        found = place.tickets.get(ticket) if place.node is node else None
+        if found:
+            del place.tickets[ticket]
+            self.broke_off(*found, place.pact.name)
+
+    def broke_off(self, client, turn, name):
+        self.outcomes[client.intent].append("broke off")
+        self.again(client, turn, 0.05)
+
+    def again(self, client, turn, pause):
+        if turn + 1 < client.tries:
+            self.clock.after(pause, self.come, client, turn + 1)
+
+    def decided(self, place, ticket, verdict, wait, heed):
+        found = place.tickets.get(ticket)
+        if found is None:
+            # Its client went away; what the fleet's word is meets nobody.
+            if verdict == "pass":
+                place.node.ended(ticket, "never")
+                self.clock.after(0.0, self.flush, place, place.node)
+            return
+        client, turn = found
+        if verdict == "pass":
+            self.judge.went_on(client.question.tenant, self.clock.now)
+            return self.clock.after(0.0, self.shoot, place, place.node, ticket, heed)
+        del place.tickets[ticket]
+        self.judge.answered(client.intent, self.clock.now, place.pact.name, verdict)
+        self.outcomes[client.intent].append(verdict)
+        if verdict != "terminate":
+            self.again(client, turn, max(0.01, wait))
+
+    def flush(self, place, node):
+        if place.node is node:
+            place.carry_out(node)
+
+    def shoot(self, place, node, ticket, heed):
+        """What the balancer would do, and the gate behind it: one shot, within what it has to heed."""
+        found = place.tickets.get(ticket) if place.node is node else None
+        if found is None:
+            return
+        client, turn = found
+        zone, cell = place.pact.zone, self.random.randrange(CELLS)
+        for bound_zone, bound_cell, group, _ in heed:
+            if group == "zone":
+                zone = bound_zone
+            elif group == "cell":
+                zone, cell = bound_zone, bound_cell
+        good = all(group == "all" or zone == z and (group == "zone" or cell == c) for z, c, group, _ in heed)
+        good = good and node.wall * 1e3 <= min((each[3] for each in heed), default=float("inf"))
+        if not good or place.stopped:
+            place.tickets.pop(ticket)
+            place.play(node.ended, ticket, "never")
+            self.outcomes[client.intent].append("terminate")
+            return
+        place.play(node.went, ticket, zone, cell)
+        self.judge.shot(client.intent, self.clock.now, zone, cell, place.pact.name)
+        self.clock.after(client.work_s, self.answer, place, node, ticket)
+
+    def answer(self, place, node, ticket):
+        found = place.tickets.pop(ticket, None) if place.node is node else None
+        if found is None:
+            if place.node is node:
+                place.play(node.ended, ticket, "maybe")
+            return
+        client, _ = found
+        place.play(node.ended, ticket, "answered")
+        self.judge.answered(client.intent, self.clock.now, place.pact.name, "completed")
+        self.outcomes[client.intent].append("completed")
+
+    # What is looked at
+
+    def nodes(self) -> dict[str, Node]:
+        return {name: place.node for name, place in self.places.items() if place.runs}
+
+    def one_ring(self) -> bool:
+        rings = {node.ring and (node.ring.epoch, node.ring.seats, node.ring.written, node.ring.phase)
+                 for node in self.nodes().values()}
+        return len(rings) == 1 and None not in rings
+
+    def until(self, found, most_s: float, step_s: float = 0.1) -> float:
+        """Runs until `found()` and says how long that took; inf if it didn't come within `most_s`."""
+        begun = self.clock.now
+        while self.clock.now < begun + most_s:
+            if found():
+                return self.clock.now - begun
+            self.run(step_s)
+        return float("inf")
--- /dev/null
+++ b/cartdeal/fleet/node.py
@@ -0,0 +1,334 @@
+"""One agent's share of the fleet: membership, ring, copies and lending, tied into one reducer.
+
+One event comes in by one method; what it leads to stands in `asked` afterwards, for a host to carry out:
+    ("send", name, address, words)              to a peer
+    ("decided", ticket, verdict, wait, heed)    what is done with a lookup; `heed`: see verdict.Elsewhere
+    ("note", kind, about)                       for an operator to read
+It must never do I/O, read a clock or sleep: the host sets `now` (monotonic seconds) and `wall` (the wall clock's)
+before each event. It decides nothing of servers.
+"""
+
+from collections import Counter
+from random import Random
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from cartdeal.fleet import epochs, errors, lending, members, replica, schema
+from cartdeal.fleet.clocks import HybridClock, Stamp
+from cartdeal.fleet.desk import Pact
+from cartdeal.fleet.epochs import Epochs
+from cartdeal.fleet.lending import Lending
+from cartdeal.fleet.members import Members
+from cartdeal.fleet.records import Certainty, Mark
+from cartdeal.fleet.replica import Replica
+from cartdeal.fleet.verdict import Question, Verdict, in_doubt, judge, may_turn_back
+
+COME_AGAIN = 0.5    # seconds after which one turned back in doubt may come again, 1.5 times that at most
+RAN = {"never": Certainty.NEVER_RAN, "maybe": Certainty.SENT, "answered": Certainty.ANSWERED}
+KNOWN_PEERS = 4     # addresses kept of strangers, as a multiple of the most agents there may be
+
+
+class Waiting:
+    """A lookup that waits for the fleet's word, or has had it and is not ended yet."""
+
+    __slots__ = ("question", "until", "by", "mark", "step", "limit_wait")
+
+    def __init__(self, question: Question, until: float):
+        self.question, self.until = question, until
+        self.by, self.mark = "", None   # its own mark, once it is claimed
+        self.step = "spend"             # then "claim" or "denied", and "open"
+        self.limit_wait = 0.0
+
+
+class Node:
+    def __init__(self, pact: Pact, seed, now: float, wall: float):
+        self.pact, self.asked, self.figured = pact, [], Counter()
+        self.now, self.offset = now, wall - now
+        self.name, self.address = pact.name, pact.address
+        self.random = Random(f"{seed}/{pact.name}/{int(wall * 1e3)}")
+        self.life = int(wall * 1e3) << 16 | self.random.getrandbits(16)
+        self.count_ = 0                 # lookups so far; with the life, no number is ever given out twice
+        self.waiting: dict[int, Waiting] = {}
+        self.open = 0                   # of these, how many still wait for the fleet's word
+        self.addresses: dict[str, str] = {}
+        self.clock = HybridClock(pact.name, pact.clock_ahead_s)
+        self.members = Members(self, pact)
+        self.epochs = Epochs(self, pact)
+        self.replica = Replica(self, pact, self.clock, self.claimed, self.sure)
+        self.lending = Lending(self, pact, self.spent, self.sure)
+        self.parts = {kind: part for module, part in (
+            (members, self.members), (epochs, self.epochs), (replica, self.replica), (lending, self.lending))
+            for kind in module.WORDS}
+        self.ring = None
+        self.fenced = self.held_late = False
+        self.is_leaving = False
+        self.served = Counter()         # by tenant, already told to the owners
+        self.members.join()
+
+    # What the host sets
+
+    @property
+    def wall(self) -> float:
+        """The fleet's time. A wall clock that is set while the agent runs moves nothing."""
+        return self.offset + self.now
+
+    @wall.setter
+    def wall(self, reading: float):
+        """A host may set it; what counts is the reading at the start, and what peers told since."""
+
+    # What the parts use
+
+    def send(self, to: str, words: Struct):
+        peer = self.members.table.get(to)
+        address = peer.address if peer else self.pact.seeds.get(to) or self.addresses.get(to)
+        if address and to != self.name:
+            self.asked.append(("send", to, address, words))
+        else:
+            self.count("no address")
+
+    def note(self, kind: str, **about):
+        self.asked.append(("note", kind, about))
+
+    def count(self, what: str, more: int = 1):
+        self.figured[what] += more
+
+    # Events
+
+    def heard(self, sender: str, life: int, address: str, wall_ms: int, words: Struct):
+        """A message whose digest was right: that its sender knows the key is all that it proves."""
+        part = self.parts.get(type(words))
+        if part is None or sender == self.name:
+            return self.count("dropped own name")
+        peer = self.members.table.get(sender)
+        if peer and life < peer.life:
+            return self.count("dropped old life")
+        if not self.timely(sender, wall_ms) and part is self.replica:
+            return      # what it stamps can't be believed; that it is there, and what ring it has, can
+        if sender in self.addresses or len(self.addresses) < KNOWN_PEERS * self.pact.most_agents:
+            self.addresses[sender] = address
+        part.heard(sender, words)
+        self.follow()
+
+    def timely(self, sender: str, wall_ms: int) -> bool:
+        """Takes the fleet's time over from a peer that is ahead, but never more than is allowed."""
+        try:
+            self.clock.hear(Stamp(wall_ms, 0, sender), self.wall)
+        except errors.ClockAhead as trouble:
+            if self.ring is not None:
+                self.count("dropped clock ahead")
+                self.note("clock ahead", peer=sender, words=str(trouble))
+                return False
+            # Of no standing yet: the ones that are there already have the time.
+            self.note("own clock behind", by_s=round(wall_ms / 1e3 - self.wall, 3), peer=sender)
+        else:
+            if self.ring is None and self.wall - wall_ms / 1e3 > self.pact.clock_ahead_s:
+                self.note("own clock ahead", by_s=round(self.wall - wall_ms / 1e3, 3), peer=sender)
+                self.offset = wall_ms / 1e3 - self.now
+                self.clock = self.replica.clock = HybridClock(self.name, self.pact.clock_ahead_s)
+        self.offset = max(self.offset, wall_ms / 1e3 - self.now)
+        return True
+
+    def tick(self):
+        self.members.tick()
+        known = self.members.knew_life()
+        if known >= self.life and known >> 16 < int(self.wall * 1e3) + 86_400_000:
+            # Its own name is remembered from a later start, by a clock that was ahead then.
+            self.life = known + 1
+            self.note("own life raised", life=self.life)
+        self.epochs.tick(self.members.live(), lambda ring, live: schema.agree(ring, live, self.pact))
+        self.follow()
+        self.replica.tick()
+        self.lending.tick()
+        self.tell_uses()
+        me = self.members.table.get(self.name)
+        if me and self.replica.moved != me.moved:
+            self.members.about_me(moved=self.replica.moved)
+        for ticket, each in [(t, e) for t, e in self.waiting.items() if e.step != "open"]:
+            if self.now >= each.until + self.pact.tick_s:
+                # The parts answer by then; should a fault have kept one from it, this does.
+                self.count("overdue")
+                self.doubt(ticket, each)
+
+    def follow(self):
+        """Tells the parts of a new ring."""
+        ring = self.epochs.ring
+        if ring is not None and ring != self.ring:
+            self.ring = ring
+            self.note("ring", epoch=ring.epoch, seats=len(ring.seats), written=ring.written, phase=ring.phase)
+            self.replica.rings(ring, self.epochs.former, self.epochs.since)
+            self.lending.rings(ring, self.epochs.former, self.epochs.since)
+            self.lending.written(schema.governs(ring.written, ring.phase))
+            self.fence(ring)
+
+    def fence(self, ring):
+        """A program too old for what the fleet writes now takes no part; its marks are still carried over."""
+        trouble = schema.refused(self.pact.reads, ring)
+        if trouble and not self.fenced:
+            self.note("fenced", words=str(trouble))
+        self.fenced = trouble is not None
+        back = schema.step_back_refused(ring, self.pact)
+        if back and not self.held_late:
+            self.note("hold refused", words=str(back))
+        self.held_late = back is not None
+
+    def sure(self) -> bool:
+        """Whether this agent may answer as an owner."""
+        return not self.fenced and self.epochs.sure()
+
+    def ask(self, ticket: int, question: Question):
+        """May this lookup go on to the balancer? The word comes by a `decided`, `wait_s` from now at most."""
+        if self.open >= self.pact.most_waiting:
+            self.count("too many waiting")
+            return self.decide(ticket, self.doubtful(question), self.come_again())
+        until = self.now + min(self.pact.wait_s, question.limit_s / 2)
+        self.waiting[ticket] = Waiting(question, until)
+        self.open += 1
+        self.count("asked")
+        if question.tenant in self.pact.limits:
+            self.lending.spend(ticket, question.tenant, until)
+        else:
+            self.spent(ticket, True, 0.0, True)
+
+    def went(self, ticket: int, zone: str, cell: int):
+        """A shot of it goes out now."""
+        each = self.waiting.get(ticket)
+        if each and each.mark and (zone, cell) not in each.mark.places:
+            places = tuple(sorted({*each.mark.places, (zone, cell)}))
+            self.refine(each, places=places, certainty=int(Certainty.SENT))
+
+    def ended(self, ticket: int, ran: str):
+        """It is answered and no shot is out any more. `ran`: "never" (provably), "maybe" or "answered"."""
+        each = self.waiting.pop(ticket, None)
+        if each is None:
+            return
+        self.open -= each.step != "open"
+        if each.mark:
+            self.refine(each, certainty=int(RAN[ran]))
+
+    def leaving(self):
+        """The agent is about to end: it hands over what it holds, and goes on answering meanwhile."""
+        if not self.is_leaving:
+            self.is_leaving = True
+            self.replica.leaving()
+
+    def parting(self):
+        """The last words: what it has on loan is given back, and its peers are told that it leaves."""
+        self.lending.leaving()
+        self.tell_uses()
+        self.members.leave()
+
+    @property
+    def gone(self) -> bool:
+        """Whether all that it holds is with others, too."""
+        return self.replica.settled
+
+    def reread(self, pact: Pact):
+        """Takes over what a running agent can: limits, and how doubt is met."""
+        self.pact = pact
+        self.lending.reread(pact)
+
+    # What the parts answer
+
+    def spent(self, ticket: int, ok: bool, wait_s: float, sure: bool):
+        each = self.waiting.get(ticket)
+        if each is None or each.step != "spend":
+            return
+        question = each.question
+        if not sure and self.pact.limit_doubt == "serve":
+            ok = True
+        if ok and not question.marked:
+            return self.settle(ticket, each, Verdict.PASS)
+        each.limit_wait = wait_s
+        if ok:
+            each.step = "claim"
+            each.mark = self.mark(question)
+            self.replica.claim(ticket, f"s/{question.session}", each.mark, each.until)
+        elif question.marked:
+            # A client that is told to come again takes it that nothing ran.
+            each.step = "denied"
+            self.replica.read(ticket, f"s/{question.session}", each.until)
+        else:
+            self.settle(ticket, each, Verdict.LIMITED if sure else Verdict.TURN_BACK,
+                        wait_s or self.come_again())
+
+    def claimed(self, ticket: int, marks: tuple[Mark, ...], sure: bool):
+        each = self.waiting.get(ticket)
+        if each is None or each.step not in ("claim", "denied"):
+            return
+        question, wall_ms = each.question, int(self.wall * 1e3)
+        slack, marking = int(self.pact.clock_ahead_s * 1e3), self.pact.clients_mark
+        if not sure:
+            return self.doubt(ticket, each)
+        if each.step == "denied":
+            if may_turn_back(question, marks, wall_ms, slack, marking):
+                return self.settle(ticket, each, Verdict.LIMITED, each.limit_wait or self.come_again())
+            return self.settle(ticket, each, Verdict.TERMINATE)
+        verdict, heed = judge(question, marks, wall_ms, slack, marking)
+        self.settle(ticket, each, verdict, 0.0, heed)
+
+    # Ways of ending the wait
+
+    def doubt(self, ticket: int, each: Waiting):
+        self.count("in doubt")
+        self.settle(ticket, each, self.doubtful(each.question), self.come_again())
+
+    def doubtful(self, question: Question) -> Verdict:
+        if not question.marked:
+            return Verdict.TURN_BACK
+        return in_doubt(question, self.pact.on_doubt, self.pact.clients_mark)
+
+    def settle(self, ticket: int, each: Waiting, verdict: Verdict, wait: float = 0.0, heed=()):
+        self.open -= 1
+        if verdict is Verdict.PASS:
+            each.step = "open"
+        else:
+            del self.waiting[ticket]
+            if each.mark:
+                # This lookup went nowhere. What an earlier one did is kept in a mark of its own.
+                self.refine(each, certainty=int(Certainty.NEVER_RAN))
+        self.decide(ticket, verdict, wait, heed)
+
+    def decide(self, ticket: int, verdict: Verdict, wait: float, heed=()):
+        self.count(verdict.value)
+        wait = 0.0 if verdict in (Verdict.PASS, Verdict.TERMINATE) else wait
+        self.asked.append(("decided", ticket, verdict.value, wait, heed))
+
+    def come_again(self) -> float:
+        return COME_AGAIN * (1.0 + 0.5 * self.random.random())
+
+    # Marks and uses
+
+    def mark(self, question: Question) -> Mark:
+        self.count_ += 1
+        now_ms = int(self.wall * 1e3)
+        lasts = question.window_s + question.limit_s if question.repeat == "d" else self.pact.longest_mark_s
+        return Mark(
+            by=f"{self.name}/{self.life}/{self.count_}", key=question.key, repeat=question.repeat,
+            group=question.group, window_ms=int(question.window_s * 1e3), places=(),
+            certainty=int(Certainty.CLAIMED), sent_ms=now_ms, workload=question.workload,
+            until_ms=now_ms + int(1e3 * min(lasts, self.pact.longest_mark_s)), extra={})
+
+    def refine(self, each: Waiting, **changes):
+        mark = each.mark
+        certainty = max(mark.certainty, changes.pop("certainty", 0))
+        each.mark = replace(mark, certainty=certainty, **changes)
+        if each.mark != mark:
+            self.replica.refine(f"s/{each.question.session}", each.mark)
+
+    def tell_uses(self):
+        """By tenant and period, for operators: nothing is decided by it."""
+        for tenant, served in self.lending.served.items():
+            if served > self.served[tenant]:
+                period = int(self.wall // self.pact.period_s)
+                self.replica.count_use(tenant, period, served - self.served[tenant])
+                self.served[tenant] = served
+
+    def figures(self) -> dict:
+        ring = self.ring
+        return {
+            "epoch": ring.epoch if ring else 0, "seats": len(ring.seats) if ring else 0,
+            "written": ring.written if ring else 0, "phase": ring.phase if ring else "",
+            "fenced": self.fenced,
+            "live": len(self.members.live()), "sure": self.sure(), "waiting": self.open,
+            **self.replica.figures(), **self.lending.figures(), **self.figured}
--- /dev/null
+++ b/cartdeal/fleet/verdict.py
@@ -0,0 +1,103 @@
+"""What is done with a lookup, from the marks that are known of its session.
+
+Pure. It must never let a lookup go on whose earlier shot may have run where another one could do harm, and
+never guesses what is not known.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from msgspec import Struct
+
+from cartdeal.fleet.records import Certainty, Mark
+
+SPARE_MS = 50       # of a window kept free, as the balancer does, for the shot to arrive
+
+
+class Question(Struct, frozen=True, kw_only=True):
+    """A lookup, as far as the fleet has to know it."""
+
+    tenant: str = ""
+    session: str = ""           # the session's hash, in hex; "" where it has none
+    key: str = ""               # what tells a repeat: the idempotency key, or a digest of what is asked
+    repeat: str = "i"           # idempotent, (d)eduplicated, (u)nrepeatable
+    group: str = "all"
+    window_s: float = 0.0
+    limit_s: float = 1.0        # of its time limit, what is left
+    workload: str = ""
+    retried: bool = False       # whether the client marked it as a repeat
+
+    @property
+    def marked(self) -> bool:
+        """Whether it leaves a mark: a repeat of it could do harm, and there is something to know it by."""
+        return self.repeat != "i" and bool(self.session)
+
+
+class Verdict(Enum):
+    """`value` is the word that the agent's side knows it by."""
+
+    PASS = "pass"
+    LIMITED = "limited"
+    TURN_BACK = "turn_back"
+    TERMINATE = "terminate"
+
+
+class Elsewhere(NamedTuple):
+    """An earlier shot that may have run: a further one goes to its group only, no later than `until_ms`."""
+
+    zone: str
+    cell: int
+    group: str
+    until_ms: int
+
+
+def earlier(question: Question, marks, clients_mark: bool) -> list[Mark]:
+    """The marks of lookups that this one may repeat and that may have run."""
+    found = []
+    for mark in marks:
+        if mark.key != question.key or mark.workload != question.workload \
+                or mark.certainty == Certainty.NEVER_RAN:
+            continue
+        if question.repeat == "u" and not question.retried:
+            # Without a key of its own, a lookup that says the same may be a new one: where clients mark their
+            # repeats, and where the client has its answer to the one before.
+            if clients_mark or mark.certainty == Certainty.ANSWERED:
+                continue
+        found.append(mark)
+    return found
+
+
+def judge(question: Question, marks, wall_ms: int, slack_ms: int, clients_mark: bool):
+    """Verdict and what a pass has to heed. `slack_ms`: how far clocks may be apart."""
+    found = earlier(question, marks, clients_mark)
+    if not found:
+        return Verdict.PASS, ()
+    if question.repeat == "u":
+        return Verdict.TERMINATE, ()
+    heed = []
+    for mark in found:
+        until = mark.sent_ms + mark.window_ms - slack_ms - SPARE_MS
+        if wall_ms > until:
+            return Verdict.TERMINATE, ()
+        if mark.group == "all":
+            heed.append(Elsewhere("", -1, "all", until))
+        elif not mark.places:
+            return Verdict.TERMINATE, ()    # it may have gone anywhere, and where is not known any more
+        else:
+            heed += [Elsewhere(zone, cell, mark.group, until) for zone, cell in mark.places]
+    return Verdict.PASS, tuple(dict.fromkeys(heed))
+
+
+def may_turn_back(question: Question, marks, wall_ms: int, slack_ms: int, clients_mark: bool) -> bool:
+    """Whether a client may be told to come again, as the balancer's own rule has it."""
+    return all(
+        question.repeat == "d" and mark.group == "all"
+        and wall_ms <= mark.sent_ms + mark.window_ms - slack_ms
+        for mark in earlier(question, marks, clients_mark))
+
+
+def in_doubt(question: Question, on_doubt: str, clients_mark: bool) -> Verdict:
+    """Marks can't be known in time: what may be a repeat is never asked to come again, nor shot."""
+    everywhere = question.repeat == "d" and question.group == "all"     # any server would drop a repeat
+    repeat = question.retried or not (clients_mark or everywhere)
+    return Verdict.TERMINATE if repeat or on_doubt == "terminate" else Verdict.TURN_BACK
--- /dev/null
+++ b/tests/test_fleet_node.py
@@ -0,0 +1,51 @@
+"""Thin end-to-end over the in-memory fleet; the stories go further."""
+
+from cartdeal.fleet.desk import Limit, Pact
+from cartdeal.fleet.memory import Memory
+from cartdeal.fleet.verdict import Question
+
+SEEDS = {f"a{n}": f"10.0.0.1:{n + 1}" for n in range(3)}
+
+
+def fleet(seed=1, agents=3, **changes):
+    memory = Memory(Pact(fleet="f", name="", key=b"k" * 32, seeds=SEEDS, limits={"shop": Limit(50.0, 20.0)},
+                         **changes), seed)
+    for number in range(agents):
+        memory.add(f"a{number}", zone=f"z{number % 3}")
+    assert memory.until(memory.one_ring, 20.0) < 20.0
+    memory.run(12.0)
+    return memory
+
+
+def unrepeatable(session="s1"):
+    return Question(tenant="", session=session, key="close", repeat="u", limit_s=2.0, workload="close")
+
+
+def test_lookup_that_may_have_run_at_an_agent_that_died_does_not_run_again():
+    memory = fleet()
+    intent = memory.intend(unrepeatable(), ["a0", "a1", "a2"], tries=3, work_s=5.0)
+    memory.run(0.1)
+    assert len(memory.judge.ran[intent]) == 1
+    memory.kill("a0")
+    memory.run(5.0)
+    assert memory.outcomes[intent] == ["broke off", "terminate"]
+    assert memory.judge.close() == []
+
+
+def test_limit_holds_for_all_agents_together():
+    memory = fleet()
+    for turn in range(1500):
+        memory.intend(Question(tenant="shop", workload="read"), [f"a{turn % 3}"])
+        memory.run(0.002)
+    assert memory.judge.close() == []
+    assert len(memory.judge.served["shop"]) > 0.9 * (20 + 3.0 * 50)
+
+
+def test_copies_of_all_owners_are_equal_in_the_end():
+    memory = fleet()
+    for turn in range(30):
+        memory.intend(unrepeatable(f"s{turn}"), [f"a{turn % 3}"])
+        memory.run(0.05)
+    memory.run(5.0)
+    memory.judge.equal({name: node.replica.digest_all() for name, node in memory.nodes().items()}, "all keys")
+    assert memory.judge.close() == [] and memory.nodes()["a0"].replica.held()
