Ask the fleet before a lookup reaches the balancer

With PROXY_FLEET an agent's lookups wait for the fleet's word: tenant's limit, and marks of the session. A shot that an earlier one elsewhere forbids ends as never sent, and the balancer learns of the earlier ones as of its own, so that it looks where a repeat is harmless. A lookup lasts no longer than its mark. What starts an agent has a module of its own, so that the command line and the starter no longer import each other; without the variable nothing of the fleet is imported.

--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections import deque
 from heapq import heappop, heappush
 from time import monotonic, time
 
@@ -31,13 +32,19 @@
 
 
 class Effects:
-    def __init__(self, station):
+    def __init__(self, station, papers=None):
+        """`papers`: what the fleet's file says; None without a fleet."""
         self.station = station
         self.due = []
         self.order = 0
         self.sooner = Event()
-        self.reducer = Reducer(station, monotonic(), time())
-        self.room = Room(*room_for(station.limits))
+        self.later, self.playing, self.gate = deque(), False, None
+        if papers is not None:
+            from cartdeal.agent.gate import Gate
+
+            self.gate = Gate(station, papers, self.after)
+        self.reducer = Reducer(station, monotonic(), time(), self.gate and self.gate.longest)
+        self.room = Room(*room_for(station.limits, self.gate))
         self.front = Front(station, self.feed, lambda: self.reducer.ready, self.room)
         self.shots = Shots(station, self.feed, self.room)
         self.roster = Roster(station, self.feed, lambda: self.reducer.version)
@@ -49,15 +56,29 @@
             "watch": self.roster.watch, "fetch_list": self.roster.fetch_list,
             "wake": self.wake, "remind": self.remind, "tell": self.tell, "note": self.note,
         }
+        if self.gate:
+            self.verbs |= self.gate.verbs | {"withhold": self.withhold}
 
     def start(self):
         self.carry_out()
         works = [self.keep_time, self.shots.sweep, self.front.sweep, self.front.accept]
         works += [self.hear] * bool(self.words)
         self.works = [gevent.spawn(self.endure, work) for work in works]
+        if self.gate:
+            self.works += self.gate.start()
+
+    def leave(self):
+        if self.gate:
+            self.gate.leave()
+
+    def part(self, until: float):
+        if self.gate:
+            self.gate.part(until)
 
     def reread(self):
         """Takes over what a new configuration changes; one that can't be used changes nothing."""
+        if self.gate:
+            self.gate.reread()
         try:
             station = configuration.read()
         except configuration.Fault as fault:
@@ -84,7 +105,24 @@
         self.run_due()
         self.play(event, args)
 
+    def after(self, event: str, *args):
+        """An event that may come of an effect: it is played after those of the event that is being played."""
+        self.later.append((event, args))
+        if not self.playing:
+            self.run_due()
+            while self.later:
+                self.play(*self.later.popleft())
+
     def play(self, event: str, args):
+        self.playing = True
+        try:
+            self.handle(event, args)
+            while self.later:
+                self.handle(*self.later.popleft())
+        finally:
+            self.playing = False
+
+    def handle(self, event: str, args):
         reducer = self.reducer
         reducer.now = max(reducer.now, monotonic())
         try:
@@ -102,6 +140,9 @@
             except Exception:
                 log.exception("effect failed", extra={"effect": verb})
 
+    def withhold(self, lookup: int, server: int, shot: int, ending):
+        self.after("shot_ended", lookup, server, shot, ending)
+
     # Timers
 
     def wake(self, token: int, at: float):
@@ -152,8 +193,9 @@
         log.info("note", extra={"words": text})
 
 
-def room_for(limits) -> tuple[int, int]:
-    """Connections, and bytes for long bodies."""
-    memory = limits.memory - OWN_MEMORY
-    connections = min(limits.descriptors - RESERVED, (1 - LONG_BODIES) * memory / PER_CONNECTION)
+def room_for(limits, gate=None) -> tuple[int, int]:
+    """Connections, and bytes for long bodies; the fleet's share of both is the gate's."""
+    memory = limits.memory - OWN_MEMORY - (gate.memory if gate else 0.0)
+    descriptors = limits.descriptors - RESERVED - (gate.descriptors if gate else 0)
+    connections = min(descriptors, (1 - LONG_BODIES) * memory / PER_CONNECTION)
     return int(connections), int(LONG_BODIES * memory * 1e6)
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -33,8 +33,8 @@
 AHEAD = 16          # requests that may wait on one connection for the answer to the one before
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
-           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
-           503: b"Service Unavailable", 505: b"HTTP Version Not Supported"}
+           413: b"Content Too Large", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
+           502: b"Bad Gateway", 503: b"Service Unavailable", 505: b"HTTP Version Not Supported"}
 WAIT = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)(m|u)")
 UNITS = {b"m": 1e3, b"u": 1e6}
 SESSION = re.compile(rb"(?:^|[;,])\s*sid=([^;,]*)")
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -2,6 +2,8 @@
 host it is.
 
 One event comes in by one method; what it leads to stands in `asked` afterwards, for effects.py to carry out.
+In a fleet (`longest` is then given) a lookup waits for the gate's word before the balancer has it, and no
+shot goes where an earlier one, at another agent, forbids it.
 It must never do I/O, wait, read a clock or yield to another greenlet, and decides nothing the balancer can.
 """
 
@@ -12,7 +14,7 @@
 
 from cartdeal.agent.configuration import Roll, Station
 from cartdeal.choice import Balancer
-from cartdeal.terms import Listing, Load, Outcome, Repeat, State
+from cartdeal.terms import Group, Listing, Load, Outcome, Repeat, State
 
 STATES = {"active": State.READY, "leaving": State.DRAINING}
 ID_MEMORY = 5.0     # seconds for which a lookup's id is known, twice that at most
@@ -88,11 +90,32 @@
 class Owed:
     """A lookup that is not answered yet, or whose shots are still out."""
 
+    waits = False       # for the gate's word
+    heed: tuple = ()    # of Heed
+    sent = 0            # shots that were let out
+    ran = served = False    # whether it may have run; whether its client had the answer
+
     def __init__(self, asker, query: Query, limit_at: float):
         self.asker, self.query, self.limit_at = asker, query, limit_at
         self.shots, self.out = 0, 0
 
 
+class Heed(NamedTuple):
+    """An earlier shot, at another agent, that may have run: others go to its group, before `until`."""
+
+    zone: int
+    cell: int
+    group: Group
+    until: float
+
+
+class Past(NamedTuple):
+    """Where an earlier shot went, as the balancer looks at it."""
+
+    zone: int
+    cell: int
+
+
 class Known(NamedTuple):
     """What the list says of a server that the balancer has no use for."""
 
@@ -101,8 +124,9 @@
 
 
 class Reducer:
-    def __init__(self, station: Station, now: float, wall: float):
-        self.station, self.now = station, now
+    def __init__(self, station: Station, now: float, wall: float, longest: tuple[float, ...] | None = None):
+        """`longest`: by workload, how long a lookup may last where a gate keeps marks; None: no gate."""
+        self.station, self.now, self.longest = station, now, longest
         self.boot = wall - now      # the one mapping between the list's clock and the agent's own
         self.asked = []
         self.count = 0
@@ -143,12 +167,35 @@
             self.ids_until = self.now + ID_MEMORY
         self.ids.add(query.id)
         self.count += 1
-        number, limit_at = self.count, min(self.now + query.wait, self.end_at)
-        self.lookups[number] = Owed(asker, query, limit_at)
+        # A mark that is over before its lookup is would let a repeat of it through.
+        wait = query.wait if self.longest is None else min(query.wait, self.longest[query.workload])
+        number, limit_at = self.count, min(self.now + wait, self.end_at)
+        owed = self.lookups[number] = Owed(asker, query, limit_at)
         self.asked.append(("begun", asker, number))
         self.asked.append(("remind", number, limit_at + OVERDUE))
+        if self.longest is None:
+            return self.pass_on(number, owed)
+        owed.waits = True
+        self.asked.append(("admit", number, query, limit_at))
+
+    def pass_on(self, number: int, owed: Owed):
+        query = owed.query
         workload = query.workload + query.strict * len(self.station.grant.workloads)
-        self.balancer.taken(number, workload, query.tenant, query.key, limit_at, query.repeat)
+        self.balancer.taken(number, workload, query.tenant, query.key, owed.limit_at, query.repeat)
+
+    def admitted(self, number: int, heed: tuple):
+        """The gate lets it go on. Each of `heed`: zone (by name), cell, group, until when."""
+        owed = self.lookups.get(number)
+        if owed and owed.waits:
+            owed.waits = False
+            owed.heed = tuple(Heed(self.zones.get(zone, -1), cell, Group(group), until)
+                              for zone, cell, group, until in heed)
+            self.pass_on(number, owed)
+
+    def declined(self, number: int, status: int, wait: float):
+        owed = self.lookups.get(number)
+        if owed and owed.waits:
+            self.answer(number, status, b"", b"", wait)
 
     def abandoned(self, number: int):
         owed = self.lookups.get(number)
@@ -163,7 +210,9 @@
             return
         owed.out -= 1
         outcome = ending.outcome()
+        owed.ran = owed.ran or not outcome.never_ran
         if outcome is Outcome.COMPLETED and owed.asker is not None:
+            owed.served = True
             self.answer(number, 200, ending.kind, ending.body, 0.0)
         elif outcome is Outcome.UNUSABLE:
             self.answer(number, 400, b"", b"", 0.0)
@@ -189,8 +238,10 @@
         owed = self.lookups.get(number)
         if owed and owed.asker is not None:
             self.note(f"lookup {owed.query.id.decode('latin-1')} overdue")
-            # What never went out may be asked again; to terminate it would leave its client in doubt.
-            self.terminate(number) if owed.shots else self.turn_back(number, 0.0)
+            # What never went out may be asked again; to terminate it would leave its client in doubt. But an
+            # earlier try of one that still waits may have run at another agent: only the fleet would know.
+            doubt = owed.sent or owed.waits and self.repeat_of(owed.query) is not Repeat.IDEMPOTENT
+            self.terminate(number) if doubt else self.turn_back(number, 0.0)
             self.balancer.abandoned(number)
 
     def listed(self, roll: Roll, fresh: bool = True):
@@ -245,9 +296,36 @@
         shot, owed.shots = owed.shots, owed.shots + 1
         owed.out += 1
         until = min(until, owed.limit_at) if until else owed.limit_at
+        if self.longest is not None:
+            where = self.balancer.servers[server]
+            if not all(self.within(each, where) for each in owed.heed):
+                return self.withhold(lookup, server, shot, owed)
+            zones = self.station.grant.zones
+            self.asked.append(("went", lookup, zones[where.zone] if zones else "", where.cell))
+        owed.sent += 1
         self.asked.append(("shoot", lookup, shot, server, self.servers[server].address, owed.query, until))
 
+    def withhold(self, lookup: int, server: int, shot: int, owed: Owed):
+        """A shot that could cause a second effect. It ends as one never sent, and the balancer learns of the
+        earlier ones as of its own: it then looks for a server where a further one does no harm."""
+        known = self.balancer.lookups[lookup]
+        for place, each in enumerate(owed.heed):
+            known.traces[-1 - place] = Past(each.zone, each.cell), each.until - known.workload.window
+        unsent = Ending(Cause.NO_ROOM, Progress.NOT_CONNECTED, 0.0)
+        self.asked.append(("withhold", lookup, server, shot, unsent))
+
+    def within(self, heed: Heed, where) -> bool:
+        """Whether a shot there, now, meets the one that is heeded: servers of its group drop a repeat."""
+        return self.now < heed.until and (heed.group is Group.ALL or where.zone == heed.zone and (
+            heed.group is Group.ZONE or where.cell == heed.cell))
+
+    def repeat_of(self, query: Query) -> Repeat:
+        return Repeat.UNREPEATABLE if query.strict else self.balancer.charter.workloads[query.workload].repeat
+
     def turn_back(self, lookup: int, wait: float):
+        owed = self.lookups.get(lookup)
+        if owed and not all(each.group is Group.ALL and self.now < each.until for each in owed.heed):
+            return self.terminate(lookup)   # its client would come again, to where it may run once more
         self.answer(lookup, 503, b"", b"", wait)
 
     def terminate(self, lookup: int):
@@ -262,8 +340,10 @@
             self.drop(number, owed)
 
     def drop(self, number: int, owed: Owed):
-        if owed.asker is None and not owed.out:
-            self.lookups.pop(number, None)
+        over = owed.asker is None and not owed.out and self.lookups.pop(number, None)
+        if over and self.longest is not None:
+            ran = "never" if not owed.ran else "answered" if owed.served else "maybe"
+            self.asked.append(("settled", number, ran))
 
     def cancel(self, lookup: int, shot: int):
         self.asked.append(("cancel", lookup, shot))
--- /dev/null
+++ b/cartdeal/agent/start.py
@@ -0,0 +1,111 @@
+"""Starts an agent, ends it on a signal, and says by its exit status how it went.
+
+Status 0: ended when asked to, owing nothing. 1: an address can't be had. 2: the configuration, or the fleet's
+file, is at fault. Without PROXY_FLEET it must never import anything of the fleet.
+"""
+
+import logging
+import os
+import signal
+import sys
+from time import monotonic
+
+import gevent
+from gevent.event import Event
+from logfmter import Logfmter
+
+from cartdeal.agent import configuration
+from cartdeal.agent.connection import Unbound
+from cartdeal.agent.effects import Effects
+
+STILL_OPEN = 0.6    # after being told to end, how long connections are taken
+LONGEST_WAIT = 3.0  # of the longest time limit the platform waits out so much before it kills
+ENDS = 0.4          # after that, when it ends: one that is killed loses what it owes
+LEAVES = 0.8        # before its end, when connections begin to be closed; until then they are of use
+LAST_ONES = 0.3     # and for how long after that one may still bring a lookup
+GOODBYE = 0.1       # before its end, when all that is still owed is terminated
+
+LINES = 20          # log lines of one kind a second
+
+log = logging.getLogger("cartdeal.agent")
+
+
+class Sparing(logging.Filter):
+    """What a peer does at full speed must not be logged at full speed. How many were left out is told later.
+
+    Kinds are the messages in the code, so there are few of them.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.kinds: dict[tuple, list] = {}      # since when, how many lines, how many left out
+
+    def filter(self, record) -> bool:
+        kind = self.kinds.setdefault((record.name, record.msg), [0.0, 0, 0])
+        if record.created >= kind[0] + 1.0:
+            kind[:2] = record.created, 0
+        kind[1] += 1
+        if kind[1] > LINES:
+            kind[2] += 1
+            return False
+        if kind[2]:
+            record.left_out, kind[2] = kind[2], 0
+        return True
+
+
+def lasts(grant) -> float:
+    """How long an agent that is told to end goes on: clients wait longer than the platform may."""
+    return min(LONGEST_WAIT, max(kind.limit for kind in grant.workloads)) + ENDS
+
+
+def fleet_papers(station):
+    """What the fleet's file says; None without one."""
+    if not os.environ.get("PROXY_FLEET"):
+        return None
+    from cartdeal.fleet import errors, papers
+    try:
+        return papers.read(station)
+    except errors.WrongPapers as trouble:
+        raise configuration.Fault(str(trouble)) from None
+
+
+def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until it serves; by default it would end the agent
+    handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(Sparing())
+    handler.setFormatter(Logfmter(keys=["at", "level", "in"],
+                                  mapping={"at": "asctime", "level": "levelname", "in": "name"}))
+    logging.basicConfig(handlers=[handler], level=logging.INFO)
+    try:
+        station = configuration.read()
+        papers = fleet_papers(station)
+    except configuration.Fault as fault:
+        print(f"cartdeal: {fault}", file=sys.stderr)
+        return 2
+    try:
+        agent = Effects(station, papers)
+    except Unbound as trouble:
+        print(f"cartdeal: {trouble}", file=sys.stderr)
+        return 1
+    told_to_end = Event()
+    gevent.signal_handler(signal.SIGHUP, lambda: told_to_end.is_set() or agent.reread())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, told_to_end.set)
+    agent.start()
+    log.info("serving", extra={"agent": station.name, "port": agent.front.port,
+                                 "servers": len(station.known.lines)})
+    told_to_end.wait()
+    end_at = monotonic() + lasts(station.grant)
+    log.info("ending", extra={"owed": agent.reducer.owes, "within": round(end_at - monotonic(), 3)})
+    agent.feed("ending", end_at - GOODBYE)
+    agent.leave()
+    gevent.sleep(STILL_OPEN)
+    agent.front.shut()
+    agent.front.wait_empty(end_at - LEAVES)
+    agent.front.end(LAST_ONES)
+    agent.front.wait_empty(end_at)
+    gevent.sleep(0)
+    agent.part(end_at)
+    log.info("ended", extra={"owed": agent.reducer.owes})
+    return 0
+
--- a/cartdeal/cli.py
+++ b/cartdeal/cli.py
@@ -37,21 +37,24 @@
 @main.command()
 def serve():
     """Run an agent, as PROXY_CONFIG says."""
-    from cartdeal.__main__ import main as serve
-    sys.exit(serve())
+    from cartdeal.agent import start
+    sys.exit(start.main())
 
 
 @main.command()
 @click.argument("file")
 def check(file):
-    """Check an agent's configuration FILE and say at which key it is at fault."""
-    from cartdeal.agent import configuration
+    """Check an agent's configuration FILE, and the fleet's that PROXY_FLEET names, and say at which key it is
+    at fault."""
+    from cartdeal.agent import configuration, start
     try:
         station = configuration.read({**os.environ, "PROXY_CONFIG": file})
+        papers = start.fleet_papers(station)
     except configuration.Fault as fault:
         click.echo(f"{file}: {fault}", err=True)
         sys.exit(2)
-    click.echo(f"{file}: good, {station.name}, {len(station.known.lines)} servers known")
+    fleet = f", fleet {papers.pact.fleet}" if papers else ""
+    click.echo(f"{file}: good, {station.name}, {len(station.known.lines)} servers known{fleet}")
 
 
 @main.command()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,9 +10,9 @@
 import pytest
 from gevent import socket, subprocess
 
-from cartdeal.__main__ import ENDS, LINES, LONGEST_WAIT, Sparing, lasts
 from cartdeal.agent.connection import BODY_ROOM, Connection
 from cartdeal.agent.front import hashed
+from cartdeal.agent.start import ENDS, LINES, LONGEST_WAIT, Sparing, lasts
 from cartdeal.grant import Grant, Kind
 from cartdeal.terms import Load, Outcome
 from examples.toy import ListService, Server, answer
