Answer 413 to a chunk that says it is too long, in place of a silent close

The parser counts what has come of a body and keeps the size that a chunk declares to itself (on_chunk_header has no argument), so check_room first knew of it when the bytes were there; a Content-Length of as much is refused at its head. The size is now read from the line ahead of the bytes that the parser tells of, also where it comes in pieces.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -36,6 +36,7 @@
 
 FRAMES = (b"content-length", b"transfer-encoding")
 BARE = (*range(100, 200), 204, 304)     # statuses of answers without a body
+SIZED = re.compile(rb"([0-9A-Fa-f]+)(?:;.*)?\r\n")     # the line ahead of a chunk
 # A name that some read as one of these and others don't.
 NEARLY = re.compile(rb"(?:content|transfer)[^a-z]*(?:length|encoding)")
 
@@ -101,6 +102,10 @@
         self.framing = 0            # bytes of the message so far that are no body, about
         self.body_size = 0          # bytes of its body so far
         self.headed = False         # whether its head is whole: what comes as a header then is a trailer
+        self.came = 0               # where in the buffer ends what has come
+        self.ahead = None           # what a read brought, from before the size of its first chunk on
+        self.line = b""             # what has come of a line of framing, over several reads
+        self.chunk = None           # bytes that a read brought of the chunk that is open
         self.more = False           # whether more came than the answer that was waited for
         self.deaf = False           # whether what comes is thrown away, unread, until the other side ends
         self.midway = False         # whether a message has begun and is not whole
@@ -123,12 +128,16 @@
         if not count or self.deaf:
             return bool(count)
         self.framing += count
+        self.came = self.kept + count
         try:
-            self.parser.feed_data(self.view[self.kept:self.kept + count])
+            self.parser.feed_data(self.view[self.kept:self.came])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
             if not (self.answers and self.whole):   # what follows a whole answer is no fault of its own
                 raise self.wrong or Malformed(400, f"no HTTP: {trouble}") from None
             self.more = True
+        if self.midway and self.message.headers.get(FRAMES[1]):
+            self.check_chunk()
+        self.ahead = None
         if self.framing > HEAD_ROOM + FRAMING * self.body_size:
             # Counted to the end of the message: trailers and chunks of nothing come without end, too.
             raise Malformed(431, f"a head of over {HEAD_ROOM} bytes")
@@ -154,7 +163,7 @@
         if self.answers and self.whole:
             raise self.fault(502, "more than the answer")
         self.message, self.kept, self.midway, self.headed = Message(), 0, True, False
-        self.claims = 0
+        self.claims, self.line, self.chunk = 0, b"", None
         if self.done():
             self.give_back()
 
@@ -195,11 +204,38 @@
         end = self.kept + len(part)
         self.body_size += len(part)
         self.framing -= len(part)
+        if self.chunk is not None:
+            self.chunk += len(part)
         self.check_room(end)
         # Behind the place where the parser reads: what stood there is parsed already.
         self.view[self.kept:end] = part
         self.kept = end
 
+    def on_chunk_header(self):
+        self.chunk = 0
+        if self.ahead is None:
+            self.ahead = bytes(self.view[self.kept:self.came])
+
+    def on_chunk_complete(self):
+        self.chunk = None
+
+    def check_chunk(self):
+        """Refuses a chunk that says it is too long, like a length that says so: its sender may be waiting.
+
+        The parser keeps the size to itself, but tells when a chunk has begun and which bytes are of it; the
+        size stands in the line ahead of these.
+        """
+        if self.ahead is not None and self.chunk is not None:
+            text = self.line + self.ahead[:len(self.ahead) - self.chunk]
+            sized = SIZED.fullmatch(text, text.rfind(b"\n", 0, -1) + 1)     # no match: a trailer
+            if sized:
+                self.check_room(self.kept + int(sized[1], 16) - self.chunk)
+        if self.chunk is None:
+            text = self.line + bytes(self.view[self.kept:self.came])
+            self.line = text[text.rfind(b"\n") + 1:]
+        else:
+            self.line, self.chunk = b"", 0
+
     def check_room(self, size: int):
         if size > self.body_room:
             raise self.fault(413, f"a body of over {self.body_room} bytes")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -201,6 +201,10 @@
     ("negative", post(b"Content-Length: -3"), 400),
     ("two lengths", post(b"Content-Length: 3", b"Content-Length: 3"), 400),
     ("chunks too long", post(CHUNKED, body=b"8000\r\n" + bytes(32768) + b"\r\n8001\r\n" + bytes(32769)), 413),
+    ("15 F", post(CHUNKED, body=b"F" * 15 + b"\r\nabc"), 413),
+    ("16 F", post(CHUNKED, body=b"F" * 16 + b"\r\nabc"), 413),
+    ("16 F, extended", post(CHUNKED, body=b"3\r\nabc\r\n" + b"F" * 16 + b";x=1\r\n"), 413),
+    ("17 F", post(CHUNKED, body=b"F" * 17 + b"\r\nabc"), 400),      # some read only the last 16 of them
     ("negative chunk", post(CHUNKED, body=b"-3\r\nabc\r\n0\r\n\r\n"), 400),
     ("head", worded("/read/x", Filling="x" * 30000), 431),
     ("trailers", post(CHUNKED, body=b"0\r\nX: " + FILLING), 431),
@@ -227,6 +231,18 @@
     assert answered(waiting) == (200, b"waited") and len(deployment.seen()) == 1
 
 
+def test_size_of_a_chunk_is_found_however_its_bytes_come(deploy):
+    deployment, sizes = deploy(), b"1;FFFFFFFF\r\n\n\r\n00008\r\n\r\nFFFFF\r\r\n"
+    fine, bad = deployment.connect(), deployment.connect()
+    for connection, body in ((fine, sizes + b"0\r\nFFFFF: x\r\n\r\n"), (bad, sizes + b"10001;x\r\n")):
+        text = post(CHUNKED, b"Idempotency-Key: k", body=body)
+        for place in range(len(text)):
+            connection.sock.sendall(text[place:place + 1])
+            gevent.sleep(0)
+    assert answered(fine) == (200, b"s0 \n\r\nFFFFF\r") and answered(bad)[0] == 413
+    assert len(deployment.seen()) == 1
+
+
 def test_trailers_change_nothing_of_a_lookup(deploy):
     deployment = deploy()
     connection = deployment.connect()
