--- a/cartdeal/fleet/desk.py
+++ b/cartdeal/fleet/desk.py
@@ -55,7 +55,7 @@
 
 
 class Desk(Protocol):
-    """What a part may use. `now`: local monotonic seconds of the event being handled; `wall`: the fleet's time."""
+    """What a part may use. `now`: local monotonic seconds of the event; `wall`: the fleet's time."""
 
     now: float
     wall: float
--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -4,8 +4,8 @@
     ("send", name, address, words)              to a peer
     ("decided", ticket, verdict, wait, heed)    what is done with a lookup; `heed`: see verdict.Elsewhere
     ("note", kind, about)                       for an operator to read
-It must never do I/O, read a clock or sleep: the host sets `now` (monotonic seconds) and `wall` (the wall clock's)
-before each event. It decides nothing of servers.
+It must never do I/O, read a clock or sleep: the host sets `now` (monotonic seconds) and `wall` (the wall
+clock's) before each event. It decides nothing of servers.
 """
 
 from collections import Counter
