Stamp what waits for a peer when it goes out

Seen with three processes started together: a message that had waited 1.1 s for its peer to listen told that peer, which had no ring yet, that its clock was ahead, and it set the fleet's time back.

--- a/cartdeal/fleet/host.py
+++ b/cartdeal/fleet/host.py
@@ -154,26 +154,33 @@
     # To peers
 
     def send(self, to: str, address: str, words):
-        node, at = self.node, place(address)
+        at = place(address)
         if at is None:
             self.figured["dropped no address"] += 1
             return self.tell_once("bad address", to, f"{to} at {str(address)[:64]!r}")
         try:
-            text = wire.encode(self.pact, node.name, node.life, node.address, int(node.wall * 1e3), words)
+            raw = wire.inner(words)
         except TooLong as trouble:
             self.figured["dropped too long"] += 1
             return self.tell_once("not sent", type(words).__name__, str(trouble))
-        self.figured["sent messages"] += 1
-        self.figured["sent bytes"] += len(text)
         if words.DATAGRAM:
             try:
-                self.words.sendto(text, at)
+                self.words.sendto(self.stamped(raw), at)
             except OSError:     # a full buffer is one, too: a datagram may be lost
                 self.figured["dropped datagrams"] += 1
         else:
-            self.queue(at, wire.framed(text))
+            self.queue(at, raw)
+
+    def stamped(self, raw: bytes) -> bytes:
+        """What has waited is stamped when it goes out: its time would seem that of a clock behind."""
+        node = self.node
+        wall = node.wall + monotonic() - node.now
+        text = wire.enveloped(self.pact, node.name, node.life, node.address, int(wall * 1e3), raw)
+        self.figured["sent messages"] += 1
+        self.figured["sent bytes"] += len(text)
+        return text
 
-    def queue(self, at, text: bytes):
+    def queue(self, at, raw: bytes):
         road = self.roads.get(at)
         if road is None:
             if len(self.roads) >= self.bounds.streams and not self.close_least_used():
@@ -182,21 +189,21 @@
             road = self.roads[at] = Road(at)
             road.greenlet = gevent.spawn(self.write, road)
         self.roads.move_to_end(at)
-        while road.queue and (len(road.queue) >= QUEUE or self.waiting + len(text) > self.bounds.waiting):
+        while road.queue and (len(road.queue) >= QUEUE or self.waiting + len(raw) > self.bounds.waiting):
             self.take(road)
             self.figured["dropped oldest"] += 1
-        if self.waiting + len(text) > self.bounds.waiting:
+        if self.waiting + len(raw) > self.bounds.waiting:
             self.figured["dropped no memory"] += 1
             return
-        road.queue.append((monotonic(), text))
-        self.waiting += len(text)
+        road.queue.append((monotonic(), raw))
+        self.waiting += len(raw)
         road.used = monotonic()
         road.more.set()
 
     def take(self, road: Road) -> bytes:
-        _, text = road.queue.popleft()
-        self.waiting -= len(text)
-        return text
+        _, raw = road.queue.popleft()
+        self.waiting -= len(raw)
+        return raw
 
     def close_least_used(self) -> bool:
         """Takes the stream that has stood empty for longest; one with words in it is not taken."""
@@ -247,7 +254,7 @@
         self.drop_stale(road)
         parts, size = [], 0
         while road.queue and size < BATCH:
-            parts.append(self.take(road))
+            parts.append(wire.framed(self.stamped(self.take(road))))
             size += len(parts[-1])
         return b"".join(parts)
 
--- a/cartdeal/fleet/wire.py
+++ b/cartdeal/fleet/wire.py
@@ -17,7 +17,9 @@
 VERSION = 1         # of the envelope; what words are in it, their tags say
 SEAL = 16           # bytes of the digest that are sent
 LONGEST_DATAGRAM = 1400     # fits one packet on common networks
+LONGEST_WORDS = 1200        # in a datagram
 LONGEST_FRAME = 512 * 1024
+ENVELOPE = 1024     # the most that version, digest and envelope add to the words
 HEADER = 4          # bytes of a frame's length
 PARTS = ("members", "epochs", "replica", "lending", "node")
 
@@ -46,13 +48,21 @@
 
 def encode(pact, sender: str, life: int, address: str, wall_ms: int, words: Struct) -> bytes:
     """One message: version, digest, envelope. Raises TooLong."""
-    raw = msgspec.Raw(msgspec.msgpack.encode(words))
-    body = msgspec.msgpack.encode(Envelope(pact.fleet, sender, life, address, wall_ms, raw))
-    text = bytes([VERSION]) + seal(pact.key, body) + body
-    most = LONGEST_DATAGRAM if words.DATAGRAM else LONGEST_FRAME
-    if len(text) > most:
-        raise TooLong(f"words {type(words).__name__}", f"{len(text)} bytes, {most} at most")
-    return text
+    return enveloped(pact, sender, life, address, wall_ms, inner(words))
+
+
+def inner(words: Struct) -> bytes:
+    """Words without their envelope. Raises TooLong."""
+    raw, most = msgspec.msgpack.encode(words), LONGEST_WORDS if words.DATAGRAM else LONGEST_FRAME - ENVELOPE
+    if len(raw) > most:
+        raise TooLong(f"words {type(words).__name__}", f"{len(raw)} bytes, {most} at most")
+    return raw
+
+
+def enveloped(pact, sender: str, life: int, address: str, wall_ms: int, raw: bytes) -> bytes:
+    """Words that are encoded already: what waits is stamped when it goes out, or its time would be old."""
+    body = msgspec.msgpack.encode(Envelope(pact.fleet, sender, life, address, wall_ms, msgspec.Raw(raw)))
+    return bytes([VERSION]) + seal(pact.key, body) + body
 
 
 def decode(pact, text: bytes, most: int = LONGEST_FRAME) -> tuple[str, int, str, int, Struct]:
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -11,7 +11,7 @@
 
 from cartdeal.fleet import errors, wire
 from cartdeal.fleet.desk import Pact
-from cartdeal.fleet.host import Bounds, Host
+from cartdeal.fleet.host import Bounds, Host, Road
 
 
 class Hail(Struct, frozen=True, tag="t.hail", array_like=True):
@@ -284,6 +284,18 @@
     back.stop()
 
 
+def test_what_waited_is_stamped_when_it_goes_out(hosts):
+    a, b, times = hosts("a"), hosts("b"), []
+    b.node.heard = lambda sender, life, address, wall_ms, words: times.append(wall_ms)
+    a.roads[("127.0.0.1", b.port)] = road = Road(("127.0.0.1", b.port))     # nobody writes it yet
+    say(a, b, Load(b"x"))
+    gevent.sleep(0.3)
+    before = int(time.time() * 1e3)
+    road.greenlet = gevent.spawn(a.write, road)
+    until(lambda: times)
+    assert times[0] >= before - 50
+
+
 def test_streams_are_bounded_and_close_when_they_carry_nothing(hosts, monkeypatch):
     a, peers = hosts("a", bounds=Bounds(streams=2)), [hosts(name) for name in "bcd"]
     for peer in peers:
