Tell the fleet's first stories, and have its judge read rings, marks and numbers on the wire

Operators' words over the in-memory fleet, and first breakages planted at test time, so that the judge is judged, too. It reads the wire now: which ring is gone by and whose votes it had, which mark was given out, at how many owners a mark was when its lookup went on, whether a mark is lost.

--- a/cartdeal/fleet/judge.py
+++ b/cartdeal/fleet/judge.py
@@ -1,15 +1,25 @@
 """Judges a fleet from the network and the answers alone, never from what an agent thinks.
 
-Pure bookkeeping: what ran at servers, what was answered, when. It must never ask a node for its
-opinion, except for the bytes of copies, which are compared with each other.
+Pure bookkeeping: what was said on the wire, what ran at servers, what was answered, when; and which program
+was started or ended where. It must never ask a node for its opinion, except for the bytes of copies, which
+are compared with each other.
 """
 
 from collections import defaultdict
 from typing import NamedTuple
 
-from cartdeal.fleet.desk import Limit
+from cartdeal.fleet import epochs, replica, schema
+from cartdeal.fleet.desk import Pact
+from cartdeal.fleet.errors import BadRecord
+from cartdeal.fleet.ranges import quorum
+from cartdeal.fleet.ring import Ring, Seat, least, owners, stepped
 
 HAIR = 1e-6
+SAMPLE = 300        # keys that are looked at when a ring changes
+ALLOWANCE = 0.06    # of the keys, for looking at so few
+STEPS = {           # (raised, phase) -> what may follow within the version; "narrow" has no way back
+    "steady": ("steady", "widen"), "widen": ("widen", "move", "steady"),
+    "move": ("move", "narrow", "widen"), "narrow": ("narrow",)}
 
 
 class Ran(NamedTuple):
@@ -21,15 +31,43 @@
     agent: str
 
 
+class Written(NamedTuple):
+    """A mark of a lookup that went on: it said that it was written."""
+
+    at: float
+    agent: str
+    until_ms: int
+
+
 class Judge:
-    def __init__(self, limits: dict[str, Limit]):
-        self.limits = limits
+    def __init__(self, pact: Pact):
+        self.pact, self.limits = pact, pact.limits
         self.violations: list[str] = []
         self.intents: dict[str, tuple] = {}             # intent -> (repeat, group, window)
         self.ran: dict[str, list[Ran]] = defaultdict(list)
         self.told: dict[str, list] = defaultdict(list)  # intent -> (at, agent, verdict)
         self.served: dict[str, list[float]] = defaultdict(list)     # tenant -> when a lookup of it went on
-        self.numbers: dict[str, set] = defaultdict(set)
+        # Processes
+        self.starts: dict[str, list[float]] = defaultdict(list)
+        self.deaths: list[tuple[float, str]] = []
+        self.programs: dict[str, tuple[int, int]] = {}  # agent -> versions that its program reads
+        self.lives: dict[tuple[str, int], int] = {}     # (agent, life) -> number of the start that used it
+        # Rings, as they are said: by digest
+        seeds = tuple(Seat(name, "", 1.0) for name in sorted(pact.seeds))
+        self.rings = {Ring(0, seeds).digest: Ring(0, seeds)}
+        self.base: dict[bytes, bytes] = {}
+        self.ballots: dict[tuple, bytes] = {}           # (base, number, proposer) -> ring
+        self.votes: dict[bytes, dict[str, None]] = defaultdict(dict)
+        self.shown: dict[bytes, float] = {}             # rings that agents act by, since when
+        self.ring_of: dict[str, bytes] = {}
+        self.by_epoch: dict[int, bytes] = {}
+        # Marks
+        self.fixed: dict[str, tuple] = {}               # mark -> what never changes of it
+        self.claims: dict[tuple[str, int, int], tuple[str, str, str, int]] = {}
+        self.latest: dict[tuple[str, str, str], str] = {}   # (agent, record, key of the lookup) -> mark
+        self.writers: dict[str, dict[str, None]] = defaultdict(dict)
+        self.marks: dict[tuple[str, str], Written] = {}
+        self.until: dict[str, int] = {}
 
     def violated(self, words: str):
         self.violations.append(words)
@@ -67,30 +105,187 @@
         if tenant in self.limits:
             self.served[tenant].append(at)
 
-    def numbered(self, agent: str, number: str):
-        """A number that an agent gave out; never twice, whatever it forgot."""
-        if number in self.numbers[agent]:
-            self.violated(f"{agent}: gave out {number} twice")
-        self.numbers[agent].add(number)
+    # What is said on the wire
+
+    def started(self, agent: str, at: float, reads: tuple[int, int]):
+        self.starts[agent].append(at)
+        self.programs[agent] = reads
+
+    def died(self, agent: str, at: float):
+        self.deaths.append((at, agent))
+
+    def said(self, at: float, sender: str, life: int, to: str, words):
+        start = len(self.starts[sender])
+        if self.lives.setdefault((sender, life), start) != start:
+            self.violated(f"{sender}: life {life} given out twice")
+            self.lives[sender, life] = start
+        kind = type(words)
+        if kind is replica.Claim:
+            self.claimed(sender, words)
+        elif kind is replica.Told:
+            if words.wrote and (to, words.life, words.number) in self.claims:
+                self.writers[self.claims[to, words.life, words.number][2]][sender] = None
+        elif kind.__module__ == epochs.__name__:
+            self.of_rings(at, sender, to, words)
+
+    def of_rings(self, at, sender, to, words):
+        kind = type(words)
+        if kind is epochs.Whole:
+            self.rings.setdefault(words.former.digest, words.former)
+            self.learn(words.former.digest, words.step)
+        elif kind is epochs.Next:
+            self.learn(words.step.base, words.step)
+        else:
+            if kind is epochs.Accept:
+                ring = self.learn(words.mark, words.step)
+                if ring:
+                    self.ballots[words.mark, words.number, sender] = ring.digest
+                    self.votes[ring.digest][sender] = None
+            elif kind is epochs.Accepted:
+                self.votes[self.ballots.get((words.mark, words.number, to), b"")][sender] = None
+            if words.has:
+                self.ring_of[sender] = words.mark
+                if words.mark not in self.shown:
+                    self.drawn(at, sender, words.has, words.mark)
+
+    def learn(self, base: bytes, step) -> Ring | None:
+        if base not in self.rings:
+            return None
+        ring = stepped(self.rings[base], step)
+        self.rings[ring.digest] = ring
+        self.base.setdefault(ring.digest, base)
+        return ring
+
+    def drawn(self, at, agent, epoch, mark):
+        """The first time that an agent goes by a ring."""
+        self.shown[mark] = at
+        if self.by_epoch.setdefault(epoch, mark) != mark:
+            self.violated(f"epoch {epoch}: two rings, the second at {agent}")
+        ring, former = self.rings.get(mark), self.rings.get(self.base.get(mark, b""))
+        if ring is None or former is None:
+            return
+        votes = [name for name in self.votes[mark] if name in former.by_name]
+        if len(votes) < former.majority and former.majority > 1:
+            self.violated(f"epoch {epoch}: drawn by {len(votes)} of {len(former.seats)}, at {agent}")
+        self.stepped(at, former, ring)
+        if former.epoch:
+            self.moved(former, ring)
+
+    def stepped(self, at, former: Ring, ring: Ring):
+        was, now = (former.written, former.phase), (ring.written, ring.phase)
+        if was == now or not former.epoch:
+            return
+        target, step = former.written + 1, f"epoch {ring.epoch}: from {was[0]} {was[1]} to {now[0]} {now[1]}"
+        if not (now[0] == was[0] and now[1] in STEPS[was[1]] or now == (target, "steady") and
+                was[1] == "narrow"):
+            return self.violated(f"{step}: no such step")
+        if (now[1], was[1]) in (("steady", "widen"), ("widen", "move")):
+            return
+        # One that has just been started by an older program is not known of yet.
+        able = [name for name in former.names if self.programs[name][1] >= target
+                or at - self.starts[name][-1] < 5.0]
+        needed = len(former.seats) if now[1] == "narrow" else former.majority
+        if len(able) < needed:
+            self.violated(f"{step}: {len(able)} of {len(former.seats)} can read {target}")
+
+    def moved(self, former: Ring, ring: Ring):
+        """A key goes from one that has less than before to one that has more, and no more go than have to."""
+        moves = 0
+        for number in range(SAMPLE):
+            key = f"s/{number}".encode()
+            here, there = owners(former, key, 1)[0], owners(ring, key, 1)[0]
+            moves += here != there
+            if here != there and all(former.by_name.get(name) == ring.by_name.get(name)
+                                     for name in (here, there)):
+                return self.violated(f"epoch {ring.epoch}: a key moved from {here} to {there}, which stayed")
+        share = least(former, ring)
+        if moves / SAMPLE > 2 * share / (1 + share) + ALLOWANCE:
+            self.violated(f"epoch {ring.epoch}: {moves / SAMPLE:.2f} of the keys moved, {share:.2f} had to")
+
+    # Marks
+
+    def claimed(self, agent, words):
+        if not words.by:
+            return
+        try:
+            mark = schema.decode("s", words.record).marks.get(words.by)
+        except BadRecord:
+            mark = None
+        if mark is None:
+            return self.violated(f"{agent}: claims {words.by} without it")
+        fixed = (words.key, mark.key, mark.repeat, mark.group, mark.window_ms, mark.workload, mark.sent_ms)
+        if self.fixed.setdefault(words.by, fixed) != fixed:
+            self.violated(f"{agent}: gave out {words.by} twice")
+        self.until[words.by] = mark.until_ms
+        self.claims[agent, words.life, words.number] = words.key, mark.key, words.by, mark.until_ms
+        self.latest[agent, words.key, mark.key] = words.by
+
+    def marked(self, agent: str, at: float, record: str, key: str, own_copy):
+        """A lookup that leaves a mark goes on: its mark has to be on enough owners. `own_copy`: the marks of
+        the record at the agent itself, as it may be an owner."""
+        by = self.latest.get((agent, record, key))
+        ring = self.rings.get(self.ring_of.get(agent, b""))
+        if by is None and ring is not None and len(ring.seats) == 1:
+            return      # nobody to tell
+        has = {**self.writers[by], **({agent: None} if by in own_copy else {})}
+        need = quorum(self.pact, ring)[1] if ring else self.pact.write_by
+        if len(has) < need:
+            self.violated(f"{agent}: went on though {by} was written at {len(has)} of {need}")
+        if by:
+            self.marks[record, by] = Written(at, agent, self.until[by])
+
+    def lost(self, copies: dict[str, dict], wall_ms: float) -> int:
+        """Marks that are not over and that no copy has. `copies`: agent -> record -> its marks. Where fewer
+        than W agents have died since, a loss has no excuse."""
+        lost = 0
+        for (record, by), each in self.marks.items():
+            if each.until_ms <= wall_ms or any(by in have.get(record, ()) for have in copies.values()):
+                continue
+            lost += 1
+            dead = {name for at, name in self.deaths if at >= each.at - HAIR}
+            if len(dead) < min(self.pact.write_by, len(self.pact.seeds)):
+                self.violated(f"{by}: lost, though only {len(dead)} agents died since")
+        return lost
 
     # At the end
 
-    def over(self, tenant: str, written: int = 2, period_s: float = 1.0) -> float:
+    def versions(self) -> list[tuple[float, int]]:
+        """By whose rules limits were lent, since when; as the newest ring says."""
+        found, newest = [(0.0, 1)], 0
+        for mark, at in self.shown.items():
+            ring = self.rings.get(mark)
+            if ring and ring.epoch > newest:
+                newest, version = ring.epoch, schema.governs(ring.written, ring.phase)
+                if version != found[-1][1]:
+                    found.append((at, version))
+        return found
+
+    def over(self, tenant: str) -> float:
         """The most by which the tenant was served over its limit, in any time. At most 0 is right.
 
-        Runs a bucket of the limit over what was served, as a server of the whole fleet would have.
+        Runs a bucket of the limit over what was served, as a server of the whole fleet would have; anew
+        where another version came to govern, and once with room for a change over the whole time.
         """
-        limit, level, last = self.limits[tenant], 0.0, 0.0
-        worst = -limit.burst
-        most = limit.burst if written == 2 else limit.burst + 2 * limit.rate * period_s
-        for at in sorted(self.served[tenant]):
-            level = max(0.0, level - limit.rate * (at - last)) + 1.0
+        limit, pact, times = self.limits[tenant], self.pact, sorted(self.served[tenant])
+        by_period = 2 * limit.rate * pact.period_s + pact.copies
+        versions = self.versions()
+        rest = pact.lease_s * (1 + pact.clock_drift) + 2 * pact.period_s
+        worst = self.overfull(times, limit.rate, limit.burst + (by_period if len(versions) > 1 else 0.0))
+        for (at, version), (end, _) in zip(versions, [*versions[1:], (float("inf"), 0)], strict=True):
+            here = [each for each in times if (at + rest if at else 0.0) <= each < end]
+            worst = max(worst, self.overfull(here, limit.rate, by_period if version == 1 else limit.burst))
+        return worst
+
+    def overfull(self, times, rate, most) -> float:
+        level, last, worst = 0.0, 0.0, -most
+        for at in times:
+            level = max(0.0, level - rate * (at - last)) + 1.0
             worst, last = max(worst, level - most), at
         return worst
 
-    def close(self, written: int = 2, period_s: float = 1.0):
+    def close(self) -> list[str]:
         for tenant in self.limits:
-            over = self.over(tenant, written, period_s)
+            over = self.over(tenant)
             if over > HAIR:
                 self.violated(f"{tenant}: served {over:.2f} over its limit")
         return self.violations
--- a/cartdeal/fleet/memory.py
+++ b/cartdeal/fleet/memory.py
@@ -61,17 +61,23 @@
 
     def clocks(self, node: Node):
         node.now = max(node.now, 1000.0 + (self.fleet.clock.now - self.born) * self.rate)
+        node.wall = 1_700_000_000.0 + self.fleet.clock.now + self.skew
 
     def start(self):
         fleet = self.fleet
         self.starts, self.stopped, self.born, self.held = self.starts + 1, False, fleet.clock.now, []
         self.tickets = {}
         wall = 1_700_000_000.0 + fleet.clock.now + self.skew
-        self.node = Node(self.pact, f"{fleet.seed}/{self.starts}", 1000.0, wall)
+        fleet.judge.started(self.pact.name, fleet.clock.now, self.pact.reads)
+        make = fleet.makers.get(self.pact.name, Node)
+        self.node = make(self.pact, f"{fleet.seed}/{self.starts}", 1000.0, wall)
         self.carry_out(self.node)
         self.tick(self.node)
 
     def kill(self):
+        if self.node is None:
+            return
+        self.fleet.judge.died(self.pact.name, self.fleet.clock.now)
         self.node, self.stopped, self.held = None, False, []
         for client, tries in list(self.tickets.values()):
             self.fleet.broke_off(client, tries, self.pact.name)
@@ -128,7 +134,8 @@
         self.pact, self.seed, self.clock = pact, seed, Clock()
         self.random, self.fates = chance(seed, "fleet"), chance(seed, "weather")
         self.weather = weather or Weather()
-        self.judge = Judge(pact.limits)
+        self.judge = Judge(pact)
+        self.makers = {}        # name -> what makes its node, in place of Node
         self.places: dict[str, Place] = {}
         self.cuts: set[tuple[str, str]] = set()     # (from, to) that nothing passes
         self.count, self.noted, self.notes = Counter(), Counter(), []
@@ -166,6 +173,18 @@
             place.play(node.parting)
             self.clock.after(0.1, lambda: place.node is node and place.kill())
 
+    def stop(self, name, seconds: float):
+        """SIGSTOP, and later SIGCONT: it goes on as if nothing had been."""
+        place = self.places[name]
+        place.stop()
+        self.clock.after(seconds, lambda node: place.node is node and place.go_on(), place.node)
+
+    def capacity(self, name, capacity: float):
+        place = self.places[name]
+        place.pact = msgspec.structs.replace(place.pact, capacity=capacity)
+        if place.node:
+            place.play(lambda: place.node.members.about_me(capacity=capacity))
+
     def cut(self, *sides):
         """Nothing passes between the sides, either way."""
         for here in sides:
@@ -193,6 +212,7 @@
         self.count["messages"] += 1
         self.count[type(words).__struct_config__.tag] += 1
         self.bytes[node.name] += len(raw)
+        self.judge.said(self.clock.now, node.name, node.life, to, words)
         target = self.places.get(to)
         if target is None or target.pact.address != address or (node.name, to) in self.cuts:
             return
@@ -223,6 +243,10 @@
         self.come(Client(intent, question, tries, tuple(agents), work_s, patience_s), 0)
         return intent
 
+    def come_again(self, intent: str, question: Question, agent: str, work_s=0.05, patience_s=1.0):
+        """The client of an earlier lookup comes once more, at another agent."""
+        self.come(Client(intent, question, 2, (agent, agent), work_s, patience_s), 1)
+
     def come(self, client: Client, turn: int):
         place = self.places[client.agents[turn % len(client.agents)]]
         if place.node is None:
@@ -264,6 +288,10 @@
         client, turn = found
         if verdict == "pass":
             self.judge.went_on(client.question.tenant, self.clock.now)
+            if client.question.marked:
+                key = f"s/{client.question.session}"
+                self.judge.marked(place.pact.name, self.clock.now, key, client.question.key,
+                                  self.marks_at(place.node, key))
             return self.clock.after(0.0, self.shoot, place, place.node, ticket, heed)
         del place.tickets[ticket]
         self.judge.answered(client.intent, self.clock.now, place.pact.name, verdict)
@@ -327,3 +355,18 @@
                 return self.clock.now - begun
             self.run(step_s)
         return float("inf")
+
+    def marks_at(self, node: Node, key: str) -> tuple[str, ...]:
+        record = node.replica.record(key) if key in node.replica.store else None
+        return tuple(record.marks) if record else ()
+
+    def copies(self) -> dict[str, dict[str, tuple[str, ...]]]:
+        """Of each agent that runs, the marks in each session that it keeps."""
+        return {name: {key: self.marks_at(node, key) for key in sorted(node.replica.store) if key[:2] == "s/"}
+                for name, node in self.nodes().items()}
+
+    def equal_copies(self) -> bool:
+        """Whether each two agents have the same bytes of what both own."""
+        nodes = self.nodes()
+        return all(a.replica.digest_all(x) == b.replica.digest_all(y)
+                   for y, a in nodes.items() for x, b in nodes.items() if y < x)
--- /dev/null
+++ b/tests/stories/sessions.feature
@@ -0,0 +1,97 @@
+Feature: What a session's earlier lookups did is known wherever its client comes next
+
+  Scenario: An agent dies while a sheet is being submitted
+    Given a fleet of 3 agents in 3 zones
+    And the fleet has settled
+    When a client submits its sheet at a0, which takes 5 seconds, and would come again at a1, a2
+    And a0 is killed
+    And 3 seconds pass
+    Then its sheet ran once
+    And the client was told: broke off, terminate
+
+  Scenario: An agent restarts from nothing under its own name in the middle of counting
+    Given a fleet of 3 agents in 3 zones
+    And the fleet has settled
+    When 10 clients submit their sheets at a0
+    And a0 starts from nothing
+    And 20 seconds pass
+    And 10 clients submit their sheets at a0
+    Then all of the 10 sheets ran
+    And no mark of the 20 sheets is lost
+    And all copies are equal within 5 seconds
+
+  Scenario: A lookup that servers of one zone deduplicate goes to that zone again, or nowhere
+    Given a fleet of 3 agents in 3 zones
+    And the fleet has settled
+    When a client sends a lookup that is deduplicated in its zone for 8 seconds to a0, and comes again at a1, a2 after 2 seconds
+    And 7 seconds pass
+    Then the last lookup ran in one zone, 3 times within 7 seconds
+
+  Scenario: A lookup is not sent again when its window is over
+    Given a fleet of 3 agents in 3 zones
+    And the fleet has settled
+    When a client sends a lookup that is deduplicated everywhere for 3 seconds to a0, and comes again at a1, a2 after 4 seconds
+    And 7 seconds pass
+    Then the client was told: broke off, terminate
+
+  Scenario: One agent's clock is 10 s ahead when it starts
+    Given a fleet of 3 agents in 3 zones
+    And the clock of a0 is 10 seconds ahead
+    And the fleet has settled
+    When a client sends a lookup that is deduplicated in its zone for 8 seconds to a0, and comes again at a1, a2 after 3 seconds
+    And 8 seconds pass
+    Then the last lookup ran in one zone, 3 times within 8 seconds
+
+  Scenario: An agent comes back with a clock that is 10 s back
+    Given a fleet of 3 agents in 3 zones
+    And the fleet has settled
+    When the clock of a1 is set 10 seconds back
+    And a1 starts from nothing
+    And 20 seconds pass
+    And a client submits its sheet at a1, which takes 5 seconds, and would come again at a0
+    And a1 is killed
+    And 3 seconds pass
+    Then the client was told: broke off, terminate
+
+  Scenario: An agent's clock jumps 10 s ahead and later 10 s back while it runs
+    Given a fleet of 3 agents in 3 zones
+    And the fleet has settled
+    When a client submits its sheet at a0, which takes 8 seconds, and would come again at a1
+    And the clock of a1 is set 10 seconds ahead
+    And 1 second passes
+    And the clock of a1 is set 20 seconds back
+    And 1 second passes
+    And a0 is killed
+    And 1 second passes
+    Then the client was told: broke off, terminate
+    And all owners know that the sheet may have run
+
+  Scenario: A hears B, and B doesn't hear A
+    Given a fleet of 3 agents in 3 zones
+    And the fleet has settled
+    When a client submits its sheet at a0, which takes 9 seconds, and would come again at a1
+    And a1 no longer hears a0
+    And 2 seconds pass
+    And a0 is killed
+    And 10 clients submit their sheets at a1 and a2 over 5 seconds
+    Then most of the 10 sheets ran
+    And all copies are equal within 15 seconds
+
+  Scenario: All owners of a session die at once, and nothing is guessed
+    Given a fleet of 6 agents in 3 zones
+    And 20 seconds marks last
+    And the fleet has settled
+    When a client submits its sheet at a0, which takes 8 seconds, and would come again at a1, a2, a3, a4, a5
+    And all owners of the session are killed
+    And all owners of the session start from nothing
+    And 15 seconds pass
+    Then its sheet ran once
+
+  Scenario: Messages come doubled, late and out of order
+    Given a fleet of 5 agents in 3 zones
+    And the fleet has settled
+    When messages are lost, doubled, up to 5 seconds late and out of order
+    And 100 clients submit their sheets at all agents over 20 seconds
+    And the network is well again
+    Then most of the 100 sheets ran
+    And all copies are equal within 15 seconds
