--- a/cartdeal/agent/gate.py
+++ b/cartdeal/agent/gate.py
@@ -32,12 +32,12 @@
 
 
 class Gate:
-    def __init__(self, station, papers, after, make=Node):
+    def __init__(self, station, papers, after):
         """`after(event, *args)` brings an event to the reducer. Raises connection.Unbound."""
         self.station, self.after, self.listen = station, after, papers.listen
         streams, share = station.limits.descriptors // STREAMS, MEMORY * station.limits.memory
         self.descriptors, self.memory = 2 * streams + 2, 2 * share
-        self.host = Host(papers.pact, papers.listen, make, self.decided,
+        self.host = Host(papers.pact, papers.listen, Node, self.decided,
                          Bounds(streams, int(share * 1e6), int(share * 1e6)))
         self.open: dict[int, tuple[float, Question]] = {}   # until when a word has to come, in that order
         grant = station.grant
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -158,13 +158,13 @@
 class Deployment:
     """Toy servers, a toy list service and an agent in one process; lookups go in by `ask`."""
 
-    def __init__(self, folder, servers=1, **more):
+    def __init__(self, folder, servers=1, fleet=None, **more):
         self.servers = [Server(f"s{place}") for place in range(servers)]
         self.service = ListService()
         self.service.lines = {server.name: server.line() for server in self.servers}
         known = {"rev": 1, "all": True, "targets": list(self.service.lines.values())}
         self.papers = papers(discovery=self.service.address, known=known) | more
-        self.agent = Effects(station(folder, **self.papers))
+        self.agent = Effects(station(folder, **self.papers), fleet)
         self.agent.start()
 
     def connect(self):
@@ -181,6 +181,8 @@
 
     def stop(self):
         gevent.killall(self.agent.works)
+        if self.agent.gate:
+            self.agent.gate.stop()
         self.agent.front.shut()
         self.agent.front.end(0.0)
         for each in (*self.servers, self.service):
