Cause the ring's hard cases, and see the judge find voters that forget

A capacity that was a whole number in one agent and a float in the rest gave one ring two digests: the judge found it, and seats hold floats now. Planted: a voter that forgets, a ballot with too few votes, vouching after having accepted the next epoch.

--- a/cartdeal/fleet/epochs.py
+++ b/cartdeal/fleet/epochs.py
@@ -4,7 +4,7 @@
 let a minority draw a ring, vouch for an epoch after it accepted the next, or believe an answer not asked for.
 
 Epoch e + 1 is one decree of Paxos (Lamport 1998) among the names of ring e; the first is one among those
-of the seeds. A voter's memory is its process: one that restarted is silent for twice lease_s, and by then each
+of the seeds. A voter's memory is its process: one that restarted is silent for twice lease_s, by when each
 ballot that it may have forgotten is over. What that can't save (voters who forget a decision that nobody else
 heard of) ends in two rings of one epoch: the lower digest wins everywhere, and both are noted.
 """
@@ -23,7 +23,9 @@
 MOST_BALLOT = 1 << 40
 UNHEARD = 255           # an age in e.vouched: not heard of within the lease
 AGES = 200              # steps of age in a lease
+REUSED = 0.05           # seconds for which the ages of vouches, once counted, are said again
 OWED = 64               # askers of one epoch that wait until this agent has learnt it
+FOUNDERS = 8            # so many of the seeds that are there, by name, ask all seeds for a ring
 STUCK_S = 30.0          # this long without a majority of the ring's seats, and an operator is told
 
 
@@ -153,6 +155,7 @@
         self.since = desk.now               # when the ring was learnt
         self.version = 0                    # goes up when the ring changes
         self.begun = desk.now
+        self.unit = ceil(pact.lease_s * 1000 / AGES)    # ms
         self.live: dict = {}
         self.damper = Damper(pact)
         self.last_step: Step | None = None
@@ -176,6 +179,7 @@
         self.ask_round, self.eager = -inf, 0.1
         self.heard_at: list[float] = [-inf] * len(self.base.seats)
         self.kth: float | None = None
+        self.aged, self.last_ages = -inf, b""
         self.owed: dict[str, Vouch] = {}
         self.place = {name: place for place, name in enumerate(self.base.names)}
 
@@ -252,7 +256,7 @@
         late = now - self.begun >= 2 * self.pact.lease_s + self.pact.damp_s
         if len(fresh) < self.ground.majority or len(fresh) < len(names) and not late:
             return None
-        seats = [Seat(peer.name, peer.zone, peer.capacity) for _, peer in sorted(self.live.items())]
+        seats = [Seat(peer.name, peer.zone, float(peer.capacity)) for _, peer in sorted(self.live.items())]
         written = max((peer.reads[0] for peer in self.live.values()), default=1)
         new = Ring(1, tuple(seats[:self.pact.most_agents]), max(1, written))
         return new if sound(new, self.pact.most_agents) else None
@@ -265,7 +269,9 @@
             names = sorted((set(self.live) | set(self.pact.seeds)) - {self.desk.name})
             few = self.desk.random.sample(names, min(3, len(names)))
             if self.desk.name in self.place:
-                few += [name for name in self.ground.names if name not in few and name != self.desk.name]
+                there = [name for name in self.ground.names if name in self.live]
+                if self.desk.name in there[:FOUNDERS]:
+                    few += [name for name in self.ground.names if name not in few and name != self.desk.name]
             for name in few:
                 self.say(name, Ask)
 
@@ -488,14 +494,20 @@
                 self.targets |= dict.fromkeys(more, 0)
 
     def vouch(self, sender, words: Vouch):
-        now, unit = self.desk.now, ceil(self.pact.lease_s * 1000 / AGES)
-        scale, lease = (1 + self.pact.clock_drift) * 1000 / unit, self.pact.lease_s
-        ages = bytearray(min(UNHEARD, ceil((now - at) * scale)) if now - at < lease else UNHEARD
-                         for at in self.heard_at)
-        own = self.place.get(self.desk.name)
+        ages, own = bytearray(self.ages()), self.place.get(self.desk.name)
         if own is not None:
             ages[own] = 0 if self.remembers and not self.accepted_higher else UNHEARD
-        self.say(sender, Vouched, words.round, unit, bytes(ages))
+        self.say(sender, Vouched, words.round, self.unit, bytes(ages))
+
+    def ages(self) -> bytes:
+        """As they will be when REUSED seconds are over; until then they are said again."""
+        now = self.desk.now
+        if now >= self.aged:
+            self.aged = then = now + REUSED
+            floor, scale = then - self.pact.lease_s, (1 + self.pact.clock_drift) * 1000 / self.unit
+            self.last_ages = bytes([int((then - at) * scale) + 1 if at > floor else UNHEARD
+                                    for at in self.heard_at])
+        return self.last_ages
 
     def vouched(self, sender, words: Vouched):
         asked = self.rounds.get(words.round)
--- a/cartdeal/fleet/ring.py
+++ b/cartdeal/fleet/ring.py
@@ -265,9 +265,9 @@
             seat = ring.by_name.get(name)
             if seat is None:
                 if steady:
-                    wanted[name] = Seat(name, peer.zone, peer.capacity)
+                    wanted[name] = Seat(name, peer.zone, float(peer.capacity))
             elif steady and abs(peer.capacity - seat.capacity) > self.share * seat.capacity:
-                wanted[name] = Seat(name, peer.zone, peer.capacity)
+                wanted[name] = Seat(name, peer.zone, float(peer.capacity))
             elif steady and peer.zone != seat.zone:
                 wanted[name] = Seat(name, peer.zone, seat.capacity)
             else:
--- a/tests/test_fleet_epochs.py
+++ b/tests/test_fleet_epochs.py
@@ -1,4 +1,4 @@
-"""Agreement on the ring, on a small network of its own: drops, delays, doubles, reorders, cuts one way, restarts."""
+"""Agreement on the ring, on a small network: drops, delays, doubles, reorders, cuts one way, restarts."""
 
 from collections import Counter
 from heapq import heappop, heappush
@@ -27,6 +27,7 @@
         self.cut, self.unseen, self.stopped = set(), set(), {}
         self.seeds = dict.fromkeys(names, "")
         self.peers, self.agents, self.notes, self.counts = {}, {}, [], {}
+        self.first, self.stale = {}, []
         self.decided, self.sent, self.bytes = {}, Counter(), Counter()
         self.written = (1, "steady")
         for name in names:
@@ -40,8 +41,8 @@
         desk.send = lambda to, words: self.send(name, to, words)
         desk.note = lambda kind, **about: self.notes.append((name, kind))
         desk.count = lambda what, more=1: self.counts[name].update({what: more})
-        self.peers[name] = SimpleNamespace(name=name, zone=f"z{len(self.peers) % 3}", capacity=capacity, state=0,
-                                           life=self.turn, reads=(1, 2))
+        self.peers[name] = SimpleNamespace(name=name, zone=f"z{len(self.peers) % 3}", capacity=capacity,
+                                           state=0, life=self.turn, reads=(1, 2))
         self.agents[name] = agent = self.make(desk, pact)
         self.at(0.1 * self.random.random(), self.tick, name, agent)
 
@@ -83,9 +84,14 @@
             self.arrive(*event)
 
     def judge(self, name, agent):
-        """Reads what each agent holds: never two rings of one epoch."""
+        """Reads what each agent holds: never two rings of one epoch, and nobody sure of one that the next one
+        took the place of a lease ago."""
         if agent.ring:
-            self.decided.setdefault(agent.ring.epoch, {}).setdefault(agent.ring.digest, name)
+            epoch = agent.ring.epoch
+            self.decided.setdefault(epoch, {}).setdefault(agent.ring.digest, name)
+            self.first.setdefault(epoch, self.now)
+            if agent.sure() and self.now - self.first.get(epoch + 1, self.now) > agent.pact.lease_s:
+                self.stale.append((name, epoch))
 
     def split(self):
         return [epoch for epoch, rings in self.decided.items() if len(rings) > 1]
@@ -163,4 +169,222 @@
     net.mend()
     net.loss = 0.0
     assert net.run(90, net.settled), net.agents["a"].ring
-    assert not net.split()
+    assert not net.split() and not net.stale
+
+
+def settled(names=ABC, **more):
+    net = Net(names, **more)
+    assert net.run(15, net.settled)
+    return net
+
+
+def sure(net):
+    return {name for name, agent in net.agents.items() if agent.sure()}
+
+
+def test_a_minority_draws_no_ring_and_is_soon_unsure():
+    net = settled(FIVE)
+    net.part("ab", "cde")
+    net.run(2.1)
+    assert sure(net) == set("cde")
+    net.run(20)
+    assert {agent.ring.epoch for name, agent in net.agents.items() if name in "ab"} == {1}
+    assert net.agents["c"].ring.names == ("c", "d", "e") and sure(net) == set("cde")
+    net.mend()
+    assert net.run(30, net.settled) and net.agreed(FIVE)
+
+
+def test_no_majority_no_ring_and_the_operator_is_told_once():
+    net = settled(FIVE)
+    for name in "abc":
+        net.stop(name)
+    net.run(40)
+    assert not sure(net) and {agent.ring.epoch for agent in net.agents.values()} == {1}
+    net.run(40)
+    assert sorted(net.notes) == [("d", "ring stuck"), ("e", "ring stuck")]
+    net.start("a")      # what the note asks for: an agent under one of the names
+    assert net.run(30, net.settled) and net.agreed("ade")
+
+
+def test_no_founding_without_a_majority_of_the_seeds():
+    net = Net(FIVE)
+    for name in "abc":
+        net.stop(name)
+    net.run(50)
+    assert net.rings() == {None} and ("e", "ring stuck") in net.notes
+    net.start("c")
+    assert net.run(20, net.settled) and net.agreed("cde")
+
+
+def test_one_witness_unseats_nobody():
+    net = settled()
+    net.unseen |= {("a", "c")}
+    net.run(30)
+    assert net.agents["b"].ring.epoch == 1 and net.counts["a"]["ballots refused"]
+
+
+def test_a_proposer_that_hears_nobody_holds_up_no_other():
+    net = settled(FIVE)
+    net.part("bcde", "a", both=False)
+    net.unseen.clear()
+    net.start("f")
+    assert net.run(30, lambda: all(len(net.agents[name].ring.names) == 6 for name in "bcde"))
+
+
+def test_stopped_for_longer_than_its_lease_it_is_not_sure_when_it_goes_on():
+    net = settled()
+    net.stopped["c"] = []
+    net.run(20)
+    assert net.agents["a"].ring.names == ABC        # the table of members still has it
+    agent = net.agents["c"]
+    agent.desk.now = net.now
+    assert not agent.sure()
+    net.go_on("c")
+    assert not agent.sure()     # by answers to what it asked before
+    net.run(1)
+    assert agent.sure()
+
+
+def test_a_ballot_that_outlived_its_lease_is_given_up():
+    net = settled()
+    net.start("d")
+    assert net.run(20, lambda: any(agent.attempt for agent in net.agents.values()))
+    name = next(name for name, agent in net.agents.items() if agent.attempt)
+    net.stopped[name] = []
+    net.run(2.5)
+    agent, kept = net.agents[name], net.stopped[name]
+    agent.desk.now = net.now
+    for sender, _, raw in kept:
+        if isinstance(words := CODEC.decode(raw), epochs.Promise | epochs.Accepted):
+            agent.heard(sender, words)
+    assert agent.attempt is None and agent.accepted is None
+
+
+def test_accepted_the_next_epoch_it_vouches_no_more():
+    net = settled()
+    agent, said = net.agents["b"], []
+    agent.desk.send = lambda to, words: said.append(words)
+    head = agent.ring.epoch, agent.ring.digest
+    agent.heard("c", epochs.Vouch(*head, 9))
+    assert said.pop().ages[1] == 0
+    agent.heard("a", epochs.Accept(*head, 7, step(agent.ring, Ring(2, agent.ring.seats, 2))))
+    assert isinstance(said.pop(), epochs.Accepted) and agent.accepted_higher and not agent.sure()
+    agent.heard("c", epochs.Vouch(*head, 10))
+    assert said.pop().ages[1] == epochs.UNHEARD
+
+
+def test_accepted_by_one_and_its_proposer_dead_it_is_still_brought_to_an_end():
+    net = settled()
+    agent = net.agents["b"]
+    wanted = step(agent.ring, Ring(2, agent.ring.seats[1:]))
+    agent.heard("a", epochs.Accept(1, agent.ring.digest, 7, wanted))
+    assert net.run(3, lambda: net.agents["c"].ring.epoch == 2)
+    assert net.agents["c"].ring.names == ("b", "c") and not net.split()
+
+
+def test_a_restarted_voter_is_silent_for_two_leases_and_learns_the_ring():
+    net = settled()
+    net.stop("c")
+    net.start("c")
+    agent, said = net.agents["c"], []
+    assert net.run(2, lambda: agent.ring is not None) and not agent.remembers
+    agent.desk.send = lambda to, words: said.append(words)
+    agent.heard("a", epochs.Prepare(1, agent.ring.digest, 7, ()))
+    agent.heard("a", epochs.Vouch(1, agent.ring.digest, 7))
+    assert said[0].why == "forgot" and said[1].ages[2] == epochs.UNHEARD
+
+
+def test_an_epoch_agreed_twice_ends_in_the_lower_digest_everywhere():
+    net = settled()
+    old = net.agents["a"].ring
+    twins = [Ring(2, old.seats, written) for written in (1, 2)]
+    twins.sort(key=lambda ring: ring.digest)
+    for name, ring in (("a", twins[1]), ("b", twins[0])):
+        net.agents[name].heard("c", epochs.Next(step(old, ring)))
+        net.judge(name, net.agents[name])
+    net.run(2)
+    assert net.split() == [2] and net.rings() == {twins[0].digest}
+    assert {name for name, kind in net.notes if kind == "epoch twice"} >= {"a"}
+
+
+def test_rings_from_far_ahead_or_malformed_are_dropped_and_counted():
+    net = settled()
+    agent, counts = net.agents["a"], net.counts["a"]
+    ring = agent.ring
+    one, two = ring.seats[:2]
+    agent.heard("b", epochs.Vouch(1 << 30, b"", 1))
+    agent.heard("b", epochs.Whole(Ring(1 << 30, ring.seats), step(ring, ring)))
+    assert counts["dropped far epoch"] == 2
+    for seats in [(two, one), (one, one), (), (Seat("x", "", 0.0),), (Seat("x", "", float("nan")),),
+                  (Seat("x", "", 2e6),), (Seat("", "", 1.0),)]:
+        former = Ring(7, seats)
+        agent.heard("b", epochs.Whole(former, step(former, Ring(8, ring.seats))))
+        bad = msgspec.structs.replace(step(ring, ring), epoch=2, seats=seats, gone=() if seats else ABC)
+        if seats not in [(two, one), (one, one)]:       # these are put in order, which makes them sound
+            agent.heard("b", epochs.Next(bad))
+            agent.heard("b", epochs.Accept(1, ring.digest, 5, bad))
+    assert counts["dropped malformed ring"] == 17 and agent.ring is ring and not agent.accepted_higher
+
+
+def test_a_step_of_the_schema_is_an_epoch():
+    net = settled()
+    net.written = (1, "widen")
+    net.run(4)
+    assert net.settled()
+    ring = net.agents["c"].ring
+    assert (ring.epoch, ring.written, ring.phase, ring.names) == (2, 1, "widen", ABC)
+
+
+def test_many_agents_ask_few_and_say_little():
+    net = settled([f"a{n:02}" for n in range(60)])
+    net.sent.clear(), net.bytes.clear()
+    net.run(10)
+    assert len(sure(net)) == 60
+    assert max(net.sent.values()) < 10 * 60 and max(net.bytes.values()) < 10 * 4000
+    net.start("b")
+    net.sent.clear(), net.bytes.clear()
+    assert net.run(20, lambda: "b" in net.agents["a05"].ring.by_name)
+    assert sum(net.bytes.values()) < 61 * 20 * 4000     # the whole ring went to the one that had none
+
+
+class Forgetful(Epochs):
+    """Says that it accepted, and forgets."""
+
+    def accept(self, sender, number, wanted):
+        answer = super().accept(sender, number, wanted)
+        self.accepted, self.promised = None, (0, "")
+        return answer
+
+
+class Loose(Epochs):
+    """Vouches for an epoch after it accepted the next."""
+
+    accepted_higher = False
+
+
+class Rash(Epochs):
+    """Takes half of the voters for a majority."""
+
+    def promise_came(self, attempt, sender, words):
+        super().promise_came(attempt, sender, words)
+        if not attempt.accepting and 2 * len(attempt.promises) >= len(self.place) - 1:
+            self.decided(attempt.step)
+
+
+@pytest.mark.parametrize("make, splits, stales", [
+    (Epochs, False, False), (Forgetful, True, True), (Rash, True, True), (Loose, False, True)])
+def test_the_judge_sees_each_planted_breakage(make, splits, stales):
+    split, stale = [], []
+    for seed in range(30):
+        net = settled(FIVE, seed=seed, make=make, damp_s=0.5)
+        net.loss, net.slow = 0.3, 0.4
+        for _ in range(4):
+            net.peers[net.random.choice(FIVE)].capacity *= 2
+            some = net.random.sample(FIVE, 2)
+            net.part(some, set(FIVE) - set(some), both=net.random.random() < 0.5)
+            net.run(3)
+            net.mend()
+            net.run(2)
+        split += net.split()
+        stale += net.stale
+    assert (bool(split), bool(stale)) == (splits, stales)
