Hold the ring to its bounds: moves, steps, zones, damping

What moves is compared with the exact formula and with real keys; one that joins takes keys and copies from others and none move between two old agents, zones or not.

--- /dev/null
+++ b/tests/test_fleet_ring.py
@@ -0,0 +1,208 @@
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cartdeal.fleet.desk import Pact
+from cartdeal.fleet.ring import Damper, Ring, Seat, least, moved, owners, plan, sound, step, stepped
+
+KEYS = [b"s/%d" % n for n in range(4000)]
+OWNERS = [("a0002", "a0003", "a0004"),
+          ("a0000", "a0002", "a0001"),
+          ("a0002", "a0003", "a0004")]
+DIGEST = "c4290cbc42d255bfa9507e4fbea80e4f"
+
+
+def ring(capacities, zones=3, epoch=1):
+    return Ring(epoch, tuple(Seat(f"a{n:04}", f"z{n % zones}", float(c)) for n, c in enumerate(capacities)))
+
+
+def joined(old, *seats):
+    return Ring(old.epoch + 1, tuple(sorted(old.seats + seats, key=lambda seat: seat.name)))
+
+
+seats = st.dictionaries(st.sampled_from([f"n{n}" for n in range(12)]), st.floats(1, 64), min_size=1).map(
+    lambda found: {name: Seat(name, f"z{int(name[1:]) % 3}", capacity) for name, capacity in found.items()})
+
+
+def drawn(found):
+    return Ring(1, tuple(found[name] for name in sorted(found)))
+
+
+def test_owners_are_the_same_in_every_process_and_for_ever():
+    known = ring([1, 2, 64, 8, 8])
+    assert [owners(known, key, 3) for key in KEYS[:3]] == OWNERS
+    assert known.digest.hex() == DIGEST
+
+
+def test_keys_spread_by_capacity():
+    known = ring([1, 4, 16, 64, 64, 16, 4, 1])
+    first = [owners(known, b"%d" % n, 1)[0] for n in range(40_000)]
+    for seat in known.seats:
+        share = seat.capacity / known.capacity
+        assert abs(first.count(seat.name) / 40_000 - share) < 4 * (share / 40_000) ** 0.5
+
+
+@settings(deadline=None, derandomize=True)
+@given(seats, st.integers(1, 5), st.integers(0, 50))
+def test_next_owners_prefer_zones_not_used_yet(found, n, key):
+    known = drawn(found)
+    names = owners(known, KEYS[key], n)
+    zones = [known.by_name[name].zone for name in names]
+    many = len({seat.zone for seat in known.seats})
+    assert len(set(names)) == len(names) == min(n, len(known.seats))
+    assert len(set(zones[:many])) == min(len(names), many)
+    assert names[0] == owners(known, KEYS[key], 1)[0] and names[:1] == owners(known, KEYS[key], n + 1)[:1]
+
+
+@pytest.mark.parametrize("agents, zones, capacity", [
+    (10, 3, 64), (10, 3, 1), (100, 3, 64), (10, 1, 8), (7, 7, 64)])
+def test_one_joins_and_no_key_moves_between_two_old_agents(agents, zones, capacity):
+    dice = Random(agents)
+    old = ring([dice.choice((1, 8, 64)) for _ in range(agents)], zones)
+    new = joined(old, Seat("new", "z0", float(capacity)))
+    share, first = capacity / new.capacity, 0
+    for key in KEYS:
+        was, now = owners(old, key, 3), owners(new, key, 3)
+        first += was[0] != now[0]
+        assert was[0] == now[0] or now[0] == "new"
+        assert set(now) - set(was) <= {"new"} and len(set(was) - set(now)) <= 1    # so do copies
+    assert first / len(KEYS) <= share + 4 * (share / len(KEYS)) ** 0.5
+
+
+@settings(deadline=None, derandomize=True)
+@given(seats, seats)
+def test_what_moves_is_counted_exactly_and_at_most_twice_the_least(one, other):
+    old, new = drawn(one), drawn(other)
+    share, floor = moved(old, new), least(old, new)
+    seen = sum(owners(old, key, 1) != owners(new, key, 1) for key in KEYS[:400]) / 400
+    assert abs(seen - share) < 4.5 * (share * (1 - share) / 400) ** 0.5 + 0.01
+    assert floor - 1e-9 <= share <= 2 * floor / (1 + floor) + 1e-9
+
+
+@settings(deadline=None, derandomize=True)
+@given(seats, seats, st.floats(0.05, 0.5))
+def test_steps_are_bounded_and_reach_what_is_wanted(one, wanted, share):
+    at = drawn(one)
+    for _ in range(int(3 + 4 / share)):
+        new = plan(at, wanted, share)
+        if new is at:
+            break
+        stay = [seat for seat in at.seats if seat.name in wanted]
+        dead = 1 - sum(seat.capacity for seat in stay) / at.capacity
+        assert new.epoch == at.epoch + 1 and sound(new, 100) and set(new.names) <= set(wanted)
+        if stay:
+            left = Ring(at.epoch, tuple(stay))
+            assert moved(left, new) <= max(0.0, share - dead) + 1e-9
+            for seat in new.seats:
+                had, goal = left.by_name.get(seat.name, Seat("", "", 0.0)).capacity, wanted[seat.name].capacity
+                assert seat.capacity <= max(had, goal / 2) or had >= goal / 2
+        at = new
+    assert at.by_name == wanted and plan(at, wanted, share) is at
+
+
+def test_three_join_in_one_step_while_one_fails():
+    old = ring([8] * 6)
+    wanted = {name: seat for name, seat in old.by_name.items() if name != "a0000"}
+    wanted |= {f"n{n}": Seat(f"n{n}", "z0", 64.0) for n in range(3)}
+    one = plan(old, wanted, 0.34)
+    assert "a0000" not in one.names and moved(old, one) <= 0.34 + 1e-9
+    assert all(one.by_name[f"n{n}"].capacity < 32 for n in range(3))
+
+
+def test_the_largest_leaves_and_only_its_keys_move():
+    old = ring([1, 2, 4, 8, 16, 32, 64])
+    new = plan(old, {name: seat for name, seat in old.by_name.items() if name != "a0006"}, 0.34)
+    assert len(new.seats) == 6
+    for key in KEYS[:1000]:
+        was = owners(old, key, 1)
+        assert owners(new, key, 1) == was or was == ("a0006",)
+
+
+@settings(deadline=None, derandomize=True)
+@given(seats, seats)
+def test_a_step_leads_to_the_same_ring(one, other):
+    old, new = drawn(one), Ring(2, drawn(other).seats, 2, "move")
+    assert stepped(old, step(old, new)) == new and stepped(old, step(old, new)).digest == new.digest
+    with pytest.raises(ValueError):
+        stepped(new, step(old, new))
+
+
+# Damping
+
+
+class Watch:
+    def __init__(self, capacities):
+        self.ring = ring(capacities)
+        self.live = {seat.name: self.peer(seat.name, seat.capacity) for seat in self.ring.seats}
+        self.damper, self.now, self.changes = Damper(Pact(fleet="f", name="a")), 0.0, 0
+
+    def peer(self, name, capacity):
+        return SimpleNamespace(name=name, zone=f"z{int(name[1:]) % 3}", capacity=capacity, life=1)
+
+    def run(self, seconds, each=lambda now: None):
+        for _ in range(int(seconds * 5)):
+            self.now += 0.2
+            each(self.now)
+            wanted = self.damper.wanted(self.live, self.ring, self.now)
+            new = plan(self.ring, wanted, 0.34)
+            self.changes += new is not self.ring
+            self.ring = new
+        return self
+
+
+def test_capacity_that_wobbles_by_a_tenth_every_second_moves_nothing():
+    watch = Watch([10] * 5)
+
+    def wobble(now):
+        for n, peer in enumerate(watch.live.values()):
+            peer.capacity = 11.0 if int(now + n / 5) % 2 else 9.0
+    assert watch.run(120, wobble).changes == 0
+
+
+def test_a_slow_creep_is_followed_once_it_is_over_the_share():
+    watch = Watch([10] * 5)
+
+    def creep(now):
+        watch.live["a0000"].capacity = 10 + now / 30 + (0.5 if int(now) % 2 else -0.5)
+    watch.run(45, creep)
+    assert watch.changes == 0
+    watch.run(555, creep)
+    assert 2 <= watch.changes <= 6 and abs(watch.ring.by_name["a0000"].capacity - 30) < 7.5
+
+
+def test_an_agent_that_flaps_30_times_a_minute_moves_nothing():
+    watch = Watch([10] * 5)
+    seat, stranger = watch.live["a0001"], watch.peer("a9999", 64.0)
+
+    def flap(now):
+        for peer, there in ((seat, int(now) % 2), (stranger, 1 - int(now) % 2)):
+            watch.live.pop(peer.name, None)
+            if there:
+                watch.live[peer.name] = peer
+    assert watch.run(120, flap).changes == 0
+
+
+def test_a_restart_faster_than_its_absence_shows_keeps_the_seat_and_brings_no_stranger_in():
+    watch = Watch([10] * 5)
+    stranger = watch.live["a9999"] = watch.peer("a9999", 64.0)
+
+    def restart(now):
+        watch.live["a0001"].life = stranger.life = int(now / 2)
+    assert watch.run(60, restart).changes == 0
+    watch.run(6)
+    assert watch.ring.by_name["a9999"].capacity == 64
+
+
+def test_a_dead_agent_leaves_after_damp_s_at_once_and_a_stopped_watcher_counts_no_time():
+    watch = Watch([10] * 5)
+    watch.run(1)
+    del watch.live["a0001"]
+    watch.run(1)
+    watch.now += 60     # stopped
+    watch.run(3)
+    assert "a0001" in watch.ring.names
+    watch.run(2)
+    assert watch.changes == 1 and "a0001" not in watch.ring.names
