--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -205,7 +205,8 @@
             workload, not promised, self.tenants.get(headers.get(b"x-tenant-id"), 0),
             hashed(sessions.pop()) if sessions else 0, wait - min(MARGIN, wait / 10),
             headers.get(b"x-retried") == b"1", message.method,
-            message.path, headers[b"x-request-id"], mark, headers.get(b"content-type", b""), message.body)
+            message.path, headers[b"x-request-id"], mark, headers.get(b"content-type", b""), message.body,
+            headers.get(b"x-tenant-id", b""))
 
     # Effects
 
--- a/cartdeal/agent/gate.py
+++ b/cartdeal/agent/gate.py
@@ -43,7 +43,6 @@
         grant = station.grant
         self.kinds = [(LETTERS[REPEATS.get(kind.repeat, Repeat.UNREPEATABLE)], kind.group or Group.CELL.value,
                        seconds(kind.window), kind.name) for kind in grant.workloads]
-        self.tenants = [each.name for each in grant.tenants]
         longest = papers.pact.longest_mark_s
         self.longest = tuple({"i": inf, "d": longest - window, "u": longest}[repeat]
                              for repeat, _, window, _ in self.kinds)
@@ -76,7 +75,8 @@
             repeat, window = "u", 0.0
         key = query.mark.decode() if query.mark and repeat == "d" else digest(query) if repeat != "i" else ""
         return Question(
-            tenant=self.tenants[query.tenant] if self.tenants else "",
+            # By name: who names none, or one that is not known, must not use up the first one's limit.
+            tenant=query.whose.decode("latin-1"),
             session=f"{query.key:016x}" if query.key else "",
             key=key, repeat=repeat, group=group, window_s=window, limit_s=max(0.0, left), workload=workload,
             retried=query.repeat)
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -85,6 +85,7 @@
     mark: bytes         # by which servers know a repeat
     kind: bytes
     body: bytes
+    whose: bytes = b""  # the tenant as the client names it
 
 
 class Owed:
