Notice a silent watch after 3 s without a whole line, with time left for two calls

Seen: asked anew 5.3 s after a watch's last line, and 9.2 s after it when that call was accepted and not answered; what a silent watch missed counts as told after 6 s. A watch that trickled bytes and no line stayed in use for good. Cause: SILENCE (5 s) and ANSWER (3 s) in roster.py were waits of one read each, and with the pauses of choice.watch_failed (0.25 to 0.75 s, then 0.5 to 1.5 s) they add up to 8.75 to 10.25 s. Now SILENCE is 3 s from whole line to whole line (one is due every 2 s), the one call after a watch that stood and fell silent has 1 s for its head, also to connect, and the pause after it is no longer than the one before: 5.5 s at most to the second call. Ruled out: keeping the pauses as they were (3.75 s would be left for silence and answer together, so a beat late by 0.75 s would cost a call), pauses halved from the start (more calls in every outage), 1 s for every call (callers that hang up on a crowded service and come again). Late agents still find their lines: past its time a watch takes what is there, and early timers of the loop are passed over. Lists on a watch may come indented: before, such a line was none that could be read, and the watch failed.

--- a/cartdeal/agent/roster.py
+++ b/cartdeal/agent/roster.py
@@ -16,8 +16,15 @@
 
 PATH = "/registry/instances"
 LIST_ROOM = 1 << 20     # the longest list, or line of one
-ANSWER = 3.0        # how long a call may take to its first line
-SILENCE = 5.0       # a watch has a line every two seconds; TCP does not tell that a service is gone
+ANSWER = 3.0        # how long a call may take to the head of its answer, a list to its end
+# TCP does not tell that a service is gone. A watch has a whole line every 2 s, and what a silent one misses
+# counts as told 6 s after it fell silent. From its last line on, two calls have to fit into these: 3.0 of
+# silence, 0.75 for the balancer's longest first pause, 1.0 for a call that is accepted and not answered,
+# 0.75 for the pause after it, and half a second is left for the second call. Under 3.0 a line that is late
+# by half its time would cost a call in calm weather; under 1.0 a service with 200 callers at once would work
+# for some that have hung up. Only that one call is short: after it ANSWER holds, and the pauses grow.
+SILENCE = 3.0       # from one whole line to the next, the first one from the head
+HASTE = 1.0         # in place of ANSWER for the call after a watch that stood and fell silent
 
 UNUSABLE = (OSError, Malformed, Fault, msgspec.MsgspecError, UnicodeError)     # what may be wrong with a call
 
@@ -30,11 +37,13 @@
         self.watching = None
         self.former = None      # the watch at the address before, until the one at the new address stands
         self.anew = False       # whether the next watch is the first at its address
+        self.hasty = False      # whether the next watch follows one that stood and fell silent
 
     def move(self, address):
         if self.former:
             self.former.kill(block=False)
-        self.address, self.former, self.watching, self.anew = address, self.watching, None, True
+        self.address, self.former, self.watching = address, self.watching, None
+        self.anew, self.hasty = True, False
 
     # Effects
 
@@ -71,12 +80,11 @@
                 self.feed("watch_failed")
 
     def run_fetch(self):
-        connection = None
+        connection, due = None, monotonic() + ANSWER
         try:
-            connection = self.call(PATH)
-            until = monotonic() + ANSWER
+            connection = self.call(PATH, ANSWER)
             while not connection.whole:
-                if not connection.receive(max(0.001, until - monotonic())):
+                if not hear(connection, due):
                     raise Malformed(400, "ended early")
             if connection.whole[0].status != 200:
                 raise Malformed(400, f"status {connection.whole[0].status}")
@@ -89,23 +97,33 @@
                 connection.close()
 
     def follow(self):
+        patience, self.hasty = HASTE if self.hasty else ANSWER, False
+        headed, stood, part, due = False, False, b"", monotonic() + patience
         # Another service may number its lists otherwise: the first call there asks for all there is.
-        connection = self.call(f"{PATH}?watch=1&after={0 if self.anew else self.version()}")
+        connection = self.call(f"{PATH}?watch=1&after={0 if self.anew else self.version()}", patience)
         try:
-            wait = ANSWER
-            while connection.receive(wait):
-                if connection.message.status and connection.message.status != 200:
-                    raise Malformed(400, f"status {connection.message.status}")
+            while hear(connection, due):
+                status = connection.message.status
+                if status and status != 200:
+                    raise Malformed(400, f"status {status}")
+                if status and not headed:
+                    headed, due = True, monotonic() + SILENCE
                 for text in connection.lines():
+                    part += text
+                    if text.strip() and not ended(part):
+                        continue
                     if self.watching is gevent.getcurrent():
                         self.stands()
-                    if text.strip():
-                        self.feed("listed", roll(text))
-                    elif wait == ANSWER:
+                    if part.strip():
+                        self.feed("listed", roll(part))
+                    elif not stood:
                         self.feed("watch_stands")
-                    wait = SILENCE
+                    stood, part, due = True, b"", monotonic() + SILENCE
                 if connection.whole:
                     return
+        except TimeoutError:
+            self.hasty = stood and self.watching is gevent.getcurrent()
+            raise
         finally:
             connection.close()
 
@@ -114,11 +132,11 @@
         if self.former:
             self.former.kill(block=False)
 
-    def call(self, path: str) -> Connection:
+    def call(self, path: str, patience: float) -> Connection:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         connection = Connection(sock, answers=True, body_room=LIST_ROOM)
         try:
-            sock.settimeout(ANSWER)
+            sock.settimeout(patience)
             sock.connect(self.address)
             connection.push(b"GET %b HTTP/1.1\r\nHost: registry\r\n\r\n" % path.encode())
         except BaseException:
@@ -127,6 +145,35 @@
         return connection
 
 
+def hear(connection: Connection, due: float) -> bool:
+    """Waits for bytes until `due`, and after it takes only what is there. False at the end of the stream.
+
+    So an agent that runs late still finds its lines, and bytes that come one by one put nothing off.
+    """
+    while (wait := due - monotonic()) > 0:
+        try:
+            return connection.receive(wait)
+        except TimeoutError:
+            pass    # the loop's own clock may lag, and its timers come early then
+    try:
+        return connection.receive(0.0)
+    except BlockingIOError:
+        raise TimeoutError from None
+
+
+def ended(part: bytes) -> bool:
+    """Whether what came is a list to its end, or none: lists may come indented, over many lines."""
+    if len(part) > LIST_ROOM:
+        raise Malformed(413, f"a list of over {LIST_ROOM} bytes")
+    if not part.rstrip().endswith(b"}"):
+        return False
+    try:
+        msgspec.json.decode(part, type=msgspec.Raw)
+    except msgspec.DecodeError as trouble:
+        return "truncated" not in str(trouble)
+    return True
+
+
 def roll(text: bytes) -> Roll:
     found = msgspec.json.decode(text, type=Roll)
     for line in found.lines:
--- a/cartdeal/choice.py
+++ b/cartdeal/choice.py
@@ -139,10 +139,10 @@
             del self.servers[server.index]
 
     def watch_failed(self):
-        self.watching = False
         self.watch_at = self.host.now + self.watch_backoff * (0.5 + self.chance())
-        self.alarm(self.watch_at)
-        self.watch_backoff = min(self.watch_backoff * 2, self.charter.ask_every / 3)
+        self.alarm(self.watch_at)   # one that stood may have failed late: the pause after it is no longer yet
+        self.watch_backoff = min(self.watch_backoff * (2 - self.watching), self.charter.ask_every / 3)
+        self.watching = False
 
     def list_moved(self):
         self.watching, self.watch_at, self.watch_backoff = False, self.host.now, 0.5
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,245 @@
+"""The watch on a clock of the test's own: sockets that deliver what a script says, and no waiting."""
+
+import json
+import os
+from heapq import heappop, heappush
+from types import SimpleNamespace
+
+import gevent
+import pytest
+
+from cartdeal.agent import roster
+from cartdeal.agent.configuration import Line, Roll
+from cartdeal.agent.reducer import Query, Reducer
+from tests.scene import GRANT, station
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TOLD = 6.0      # what a silent watch misses counts as told so long after it fell silent
+NEVER_UP = [(1e9, None)]    # not even the connection comes up
+
+
+def chunk(text):
+    return b"%x\r\n%b\r\n" % (len(text), text)
+
+
+def told(version, *lines, whole=False, indent=None):
+    text = json.dumps({"rev": version, "all": whole, "targets": lines}, indent=indent)
+    return chunk(text.encode() + b"\n")
+
+
+def server(name, **more):
+    return {"uid": name, "endpoint": "127.0.0.1:1", "az": "a"} | more
+
+
+BEAT, LIST = chunk(b"\n"), HEAD + told(4, server("s1"), whole=True)
+
+
+class Sock:
+    """Brings each piece of its script so long after the call; where nothing is due, the wait passes."""
+
+    def __init__(self, world):
+        self.world, self.wait, self.begun = world, None, world.now
+        self.script = list(world.scripts.pop(0)) if world.scripts else []
+
+    def settimeout(self, wait):
+        self.wait = wait
+
+    def connect(self, address):
+        if self.script == NEVER_UP:
+            self.pass_by(self.begun + 1e9)
+
+    def fileno(self):
+        return self.world.sink
+
+    def pass_by(self, at):
+        if at > self.world.now + self.wait:
+            self.world.now += self.wait
+            raise TimeoutError if self.wait else BlockingIOError
+        self.world.now = max(self.world.now, at)
+
+    def recv_into(self, view):
+        self.pass_by(self.begun + self.script[0][0] if self.script else 1e9)
+        text = self.script.pop(0)[1]
+        if callable(text):
+            return text(self.world)
+        view[:len(text)] = text
+        return len(text)
+
+    def close(self):
+        pass
+
+
+class World:
+    """One agent's list: its real roster, reducer and balancer. `calls` has when and what each call asked."""
+
+    def __init__(self, folder, monkeypatch, *scripts, chance=None, seed="7", known=({},)):
+        self.now, self.scripts, self.due, self.order = 100.0, list(scripts), [], 0
+        self.calls, self.failed, self.shots = [], [], []
+        self.sink = os.open(os.devnull, os.O_WRONLY)
+        monkeypatch.setattr(roster, "monotonic", lambda: self.now)
+        monkeypatch.setattr(roster, "socket", SimpleNamespace(
+            socket=lambda *kind: Sock(self), AF_INET=0, SOCK_STREAM=0))
+        known = {"rev": 3, "all": True, "targets": [server("s0") | each for each in known]}
+        papers = station(folder, seed=seed, known=known, settings=GRANT | {"discovery": "pushed"})
+        self.reducer = Reducer(papers, self.now, 2000.0)
+        if chance is not None:
+            self.reducer.balancer.chance = lambda: chance
+        self.roster = roster.Roster(papers, self.feed, lambda: self.reducer.version)
+        call = self.roster.call
+        self.roster.call = lambda path, *rest: (self.calls.append((self.now, path)), call(path, *rest))[1]
+        self.carry_out()
+
+    def feed(self, event, *args):
+        if event == "watch_failed":
+            self.failed.append(self.now)
+        self.reducer.now = self.now
+        getattr(self.reducer, event)(*args)
+        self.carry_out()
+
+    def carry_out(self):
+        asked, self.reducer.asked = self.reducer.asked, []
+        for verb, *args in asked:
+            if verb == "wake":
+                self.order += 1
+                heappush(self.due, (args[1], self.order))
+            elif verb == "watch":
+                self.roster.watch(*args)
+            elif verb == "shoot":
+                self.shots.append(args[2])
+
+    def play(self, until):
+        """Plays watches and timers up to about that time."""
+        while self.now < until:
+            if self.roster.watching:
+                self.roster.watching.join()
+            elif self.due and self.due[0][0] <= self.now:
+                heappop(self.due)
+                self.feed("woken", 0)
+            else:
+                self.now = self.due[0][0]
+
+    def take(self, number):
+        path = b"/%d" % number
+        self.feed("taken", number, Query(0, False, 0, number, 2.0, False, b"GET", path, path, b"", b"", b""))
+
+
+@pytest.fixture
+def world(tmp_path, monkeypatch):
+    made = []
+
+    def make(*scripts, **more):
+        made.append(World(tmp_path, monkeypatch, *scripts, **more))
+        return made[-1]
+
+    yield make
+    for each in made:
+        os.close(each.sink)
+        if each.roster.watching:
+            each.roster.watching.kill()
+
+
+STOOD = [(0.0, LIST), (2.0, BEAT), (4.0, BEAT)]     # and falls silent
+LAST = 104.0
+
+
+@pytest.mark.parametrize("first", [[], NEVER_UP, [(0.1, HEAD[:20]), (0.9, HEAD[20:40])]],
+                         ids=["accepted", "never up", "half a head"])
+@pytest.mark.parametrize("chance", [0.0, 0.999999])
+def test_two_calls_fit_in_after_a_silent_watch_the_first_one_never_answered(world, first, chance):
+    new = [(0.0, HEAD + told(9, server("s1", state="leaving")))]
+    played = world(STOOD, first, new, chance=chance)
+    played.play(LAST + TOLD)
+    (_, one), (_, two), (at, three) = played.calls[:3]
+    assert at - LAST <= 5.5 and played.reducer.version == 9
+    assert one.endswith("after=3") and two.endswith("after=4") and two == three     # all that was missed
+    played.take(1)
+    assert not played.shots
+
+
+def test_only_the_call_after_silence_is_short_and_its_pauses_grow(world):
+    played = world(STOOD, *[[]] * 20, chance=0.5)
+    played.play(150.0)
+    begun = [at for at, _ in played.calls[1:]]
+    took = [failed - at for failed, at in zip(played.failed[1:], begun, strict=False)]
+    pauses = [at - failed for failed, at in zip(played.failed, begun, strict=False)]
+    assert took[:3] == pytest.approx([roster.HASTE, roster.ANSWER, roster.ANSWER])
+    assert pauses[:5] == pytest.approx([0.5, 0.5, 1.0, 2.0, 10 / 3]) and len(begun) < 12
+
+
+@pytest.mark.parametrize("script, fails", [
+    ([], roster.ANSWER),
+    ([(n / 2, HEAD[n:n + 1]) for n in range(60)], roster.ANSWER),
+    ([(0.5, HEAD), (0.6, told(5)[:20])], 0.5 + roster.SILENCE),
+    ([(0.0, LIST)] + [(n / 2, chunk(b"x")) for n in range(2, 60)], roster.SILENCE),
+    ([(0.0, LIST)] + [(n / 2, chunk(b"[\n")) for n in range(2, 60)], roster.SILENCE),
+    ([(0.0, LIST), (2.0, BEAT), (3.0, told(5)[:20])], 2.0 + roster.SILENCE),
+], ids=["no answer", "head by bytes", "half a line", "line by bytes", "list by lines", "half a change"])
+def test_watch_without_whole_lines_is_broken_however_much_it_trickles(world, script, fails):
+    played = world(script, [(0.0, HEAD + BEAT)])
+    played.play(100.0 + fails + 2.0)
+    assert played.failed[0] - 100 == pytest.approx(fails) and len(played.calls) > 1
+
+
+def late(by):
+    """The whole agent stands still while its lines come."""
+    def stall(world):
+        world.now += by
+        raise TimeoutError
+    return stall
+
+
+@pytest.mark.parametrize("script", [
+    [(0.0, LIST)] + [(2.9 * n, BEAT) for n in range(1, 21)],
+    [(0.0, LIST), (1.0, late(20.0)), (2.0, BEAT), (22.0, BEAT)] + [(2.0 * n, BEAT) for n in range(12, 31)],
+    [(0.0, LIST), (1.0, late(0.0)), (1.5, late(0.0))] + [(2.0 * n, BEAT) for n in range(1, 31)],
+], ids=["lines late", "agent late", "timers early"])
+def test_watch_that_is_only_late_is_not_opened_anew(world, script):
+    played = world(script)
+    played.play(155.0)
+    assert len(played.calls) == 1
+
+
+def test_hundreds_whose_watches_fall_silent_at_once_call_apart_and_seldom(world):
+    firsts, all_ = [], 0
+    for seed in range(200):
+        played = world(STOOD, *[[]] * 20, seed=f"{seed * 0x9E3779B97F4A7C15 % 2**64:x}")
+        played.play(LAST + 20.0)
+        firsts.append(played.calls[1][0])
+        all_ += sum(at < LAST + 20.0 for at, _ in played.calls[1:])
+    # Spread over half a second, where in a fleet the beats of its watches are spread over two more.
+    assert max(sum(at <= each < at + 0.05 for each in firsts) for at in firsts) < 40
+    assert all_ < 200 * 5
+
+
+def test_list_that_the_agent_has_counts_from_its_first_moment_and_right_after_an_outage(world):
+    changed = HEAD + told(5, server("s0", state="leaving"), server("s2"))
+    played = world([], [(0.0, changed)], known=(server("s0"), server("s1", state="leaving")))
+    played.take(1)
+    played.play(100.1)      # the first call is not answered, the second one is
+    played.take(2)
+    played.play(104.0)
+    played.take(3)
+    assert played.shots == [0, 0, 2]
+
+
+def test_lists_may_come_indented(world):
+    text = HEAD + told(8, server("s1", state="leaving"), server("s2{"), whole=True, indent=2)
+    played = world([(0.0, text[:90]), (0.1, text[90:]), (2.0, BEAT + told(9, server("s2{", cell=1)))])
+    played.play(100.2)
+    assert len(played.calls) == 1 and played.reducer.version == 9
+
+
+@pytest.mark.parametrize("script", [[], NEVER_UP, [(n / 2, b"HTTP/1.1 200 OK"[n:n + 1]) for n in range(15)]])
+def test_whole_list_is_had_in_time_or_not_at_all(world, script):
+    played = world([(0.0, LIST), (0.0, b"")], script)
+    played.scripts.insert(0, played.scripts.pop())
+    gevent.spawn(played.roster.run_fetch).join()
+    assert played.failed and played.failed[0] - 100 == pytest.approx(roster.ANSWER)
+
+
+def test_a_list_is_one_of_known_form():
+    assert roster.roll(b'{"rev": 2, "targets": []}') == Roll(2)
+    with pytest.raises(roster.Fault):
+        roster.roll(json.dumps({"targets": [server("s", endpoint="x")]}).encode())
+    line, = roster.roll(json.dumps({"targets": [server("s")]}).encode()).lines
+    assert line == Line("s", "127.0.0.1:1", "a")
