Measure the ring beside points on a circle and rendezvous without damping

Exact shares for all three, and real keys beside dice for the loads: at 1,000 agents of 1 to 64 the smallest have too few of 50,000 keys for a count to tell anything by itself.

--- /dev/null
+++ b/cartdeal/lab/rings.py
@@ -0,0 +1,178 @@
+"""How much a ring moves and how even it is, beside plain points on a circle and rendezvous without damping.
+
+It owns the other ways, which live here alone: an agent in service must never import them. Shares are exact
+(arcs; capacities; ring.moved), for ever so many keys; `fullest_of_keys` is counted on real ones.
+"""
+
+from functools import cache
+from itertools import pairwise
+from random import Random
+from types import SimpleNamespace
+
+import numpy as np
+
+from cartdeal.fleet.desk import Pact
+from cartdeal.fleet.ring import Damper, Ring, Seat, least, moved, number, owners, plan
+
+KEYS = 50_000           # for loads
+COPIED = 1_500          # keys, for copies
+POINTS = 5              # on the circle for one of capacity; 160 for an agent of 32
+EVENTS = ("join", "leave", "capacity", "turnover", "flapping", "wobble")
+STEP = 0.5              # seconds between two looks of the damper
+
+
+def fleet(seed: int, agents: int) -> dict[str, Seat]:
+    """Capacities of 1 to 64, as many between 1 and 2 as between 32 and 64; three zones."""
+    dice = Random(f"{seed} {agents}")
+    return {name: Seat(name, f"z{place % 3}", float(round(2 ** dice.uniform(0, 6))))
+            for place, name in enumerate(f"agent-{place:04}" for place in range(agents))}
+
+
+def story(event: str, seats: dict[str, Seat], seed: int) -> list[tuple[float, dict[str, Seat]]]:
+    """Who is live from when on (seconds), the same for all variants; the first is in force before."""
+    name = max(seats, key=lambda each: (seats[each].capacity, each))
+    largest, rest = seats[name], {each: seat for each, seat in seats.items() if each != name}
+    if event == "join":
+        return [(0.0, rest), (10.0, seats)]
+    if event == "leave":
+        return [(0.0, seats), (10.0, rest)]
+    if event == "capacity":     # of the largest, to a half
+        return [(0.0, seats), (10.0, seats | {name: Seat(name, largest.zone, largest.capacity / 2)})]
+    if event == "turnover":     # three join in one step while the largest fails
+        names = sorted(rest)[:3]
+        return [(0.0, {each: seat for each, seat in seats.items() if each not in names}), (10.0, rest)]
+    if event == "flapping":     # the largest, 30 times in a minute
+        return [(0.0, seats)] + [(10.0 + turn, seats if turn % 2 else rest) for turn in range(60)]
+    dice = Random(seed)         # each a tenth up or down, every second for ten seconds
+
+    def wobbling():
+        return {each: Seat(each, seat.zone, seat.capacity * dice.choice((0.9, 1.1)))
+                for each, seat in seats.items()}
+    return [(0.0, seats), *((10.0 + turn, wobbling()) for turn in range(10)), (20.0, seats)]
+
+
+def drawn(seats: dict[str, Seat], epoch=1) -> Ring:
+    return Ring(epoch, tuple(seats[name] for name in sorted(seats)))
+
+
+# Three ways to follow a story: rings in force, one after the other
+
+
+def damped(told):
+    pact = Pact(fleet="lab", name="lab")
+    damper, ring, now, last = Damper(pact), drawn(told[0][1]), 0.0, told[-1][0]
+    rings, quiet, left = [ring], 0, list(told)
+    while now <= last or quiet < 8 * pact.damp_s:
+        if left and left[0][0] <= now:
+            live = {name: SimpleNamespace(name=name, zone=seat.zone, capacity=seat.capacity, life=1)
+                    for name, seat in left.pop(0)[1].items()}
+        new = plan(ring, damper.wanted(live, ring, now), pact.step_share)
+        if new is not ring:
+            rings.append(new)
+        quiet, ring, now = 0 if new is not ring else quiet + 1, new, now + STEP
+    return rings
+
+
+def at_once(told):
+    return [drawn(seats, turn + 1) for turn, (_, seats) in enumerate(told)]
+
+
+class Circle:
+    """Karger et al. 1997: an agent owns the arcs that end at its points, as many as its capacity asks for."""
+
+    def __init__(self, ring: Ring, known: dict):
+        self.names = ring.names
+        spots = []
+        for seat in ring.seats:
+            many = max(1, round(POINTS * seat.capacity))
+            had = known.setdefault(seat.name, [])
+            had += [number(b"%s/%d" % (seat.name.encode(), n)) for n in range(len(had), many)]
+            spots.append(np.array(had[:many], dtype=np.uint64))
+        spot = np.concatenate(spots)
+        order = np.argsort(spot, kind="stable")
+        self.spot = spot[order]
+        self.whose = np.repeat(np.arange(len(spots)), [len(each) for each in spots])[order]
+
+    def owner(self, spots):
+        return self.whose[np.searchsorted(self.spot, spots) % len(self.spot)]
+
+    def shares(self) -> dict[str, float]:
+        """Of the circle, by name."""
+        arcs = np.diff(self.spot, prepend=self.spot[-1]).astype(float) / 2.0 ** 64     # wraps round the end
+        return dict(zip(self.names, np.bincount(self.whose, arcs, len(self.names)), strict=True))
+
+    def moved(self, new: "Circle") -> float:
+        ends = np.unique(np.concatenate([self.spot, new.spot]))
+        arcs = np.diff(ends, prepend=ends[-1]).astype(float) / 2.0 ** 64
+        place = {name: n for n, name in enumerate(new.names)}
+        renamed = np.array([place.get(name, -1) for name in self.names])
+        return float(arcs[renamed[self.owner(ends)] != new.owner(ends)].sum())
+
+
+def key_spots(seed: int, many: int) -> np.ndarray:
+    return np.array([number(b"%d/%d" % (seed, n)) for n in range(many)], dtype=np.uint64)
+
+
+def first_owners(ring: Ring, spots: np.ndarray) -> np.ndarray:
+    """Places in the ring's seats: what ring.owners says, for many keys at once."""
+    salts = np.array([number(seat.name.encode()) for seat in ring.seats], dtype=np.uint64)
+    turns = np.array([-1 / seat.capacity for seat in ring.seats])
+    found = []
+    for part in np.array_split(spots, max(1, len(spots) * len(salts) // 2_000_000)):
+        x = part[:, None] ^ salts[None, :]
+        x = (x ^ x >> np.uint64(30)) * np.uint64(0xBF58476D1CE4E5B9)
+        x = (x ^ x >> np.uint64(27)) * np.uint64(0x94D049BB133111EB)
+        found.append((np.log(((x ^ x >> np.uint64(31)) + 0.5) * 2.0 ** -64) * turns).argmin(axis=1))
+    return np.concatenate(found)
+
+
+def fullest(shares: dict[str, float], fair: dict[str, Seat]) -> float:
+    whole = sum(seat.capacity for seat in fair.values())
+    return max(share * whole / fair[name].capacity for name, share in shares.items())
+
+
+def copies_moved(rings: list[Ring], n=3) -> float:
+    """The share of copies, n a key, that come to another agent, summed over the rings' changes."""
+    keys, sum_ = [b"s/%d" % each for each in range(COPIED)], 0
+    for old, new in pairwise(rings):
+        sum_ += sum(len(set(owners(new, key, n)) - set(owners(old, key, n))) for key in keys)
+    return sum_ / (n * COPIED)
+
+
+def measure(variant: str, seed: int, agents: int = 10, event: str = "join") -> dict:
+    """One row. `variant`: "cartdeal", "circle" or "undamped"; `event`: one of EVENTS.
+
+    `moved_over_least`: first owners moved, over the least that must move from begin to end (under 1: the ring
+    did not give an agent its share); of flapping and wobble, which end where they began, over the least of
+    their first change alone (nought moved is 0, flapping that is followed each time is 60).
+    `fullest_over_fair`: the fullest agent's share at the end, over what its capacity asks for;
+    `fullest_of_keys`: the same for KEYS real keys, beside `fullest_by_chance`, what dice with exact shares give.
+    `copies_over_least`: copies (3 a key) moved, over the same least ("" where there are many rings, or no zones
+    to spread over). `epochs`: changes of the ring.
+    """
+    told = story(event, fleet(seed, agents), seed)
+    begin, end = told[0][1], told[-1][1]
+    floor = least(drawn(begin), drawn(told[1][1]))
+    rings = damped(told) if variant == "cartdeal" else at_once(told)
+    spots, copies = key_spots(seed, KEYS), ""
+    if variant == "circle":
+        known, seen = {}, {ring.seats: ring for ring in rings}
+        circle = cache(lambda seats: Circle(seen[seats], known))
+        between = cache(lambda old, new: circle(old).moved(circle(new)))
+        went = sum(between(old.seats, new.seats) for old, new in pairwise(rings))
+        shares, held = circle(rings[-1].seats).shares(), circle(rings[-1].seats).owner(spots)
+    else:
+        went = sum(moved(old, new) for old, new in pairwise(rings))
+        shares = {seat.name: seat.capacity / rings[-1].capacity for seat in rings[-1].seats}
+        held = first_owners(rings[-1], spots)
+        if len(rings) <= 10:
+            copies = round(copies_moved(rings) / floor, 3)
+    names = rings[-1].names
+    counted = dict(zip(names, np.bincount(held, minlength=len(names)) / KEYS, strict=True))
+    fair = [end[name].capacity for name in names]
+    thrown = np.random.default_rng(seed).multinomial(KEYS, np.array(fair) / sum(fair)) / KEYS
+    return {"variant": variant, "seed": seed, "agents": agents, "event": event,
+            "moved_over_least": round(went / floor, 3), "fullest_over_fair": round(fullest(shares, end), 3),
+            "fullest_of_keys": round(fullest(counted, end), 3),
+            "fullest_by_chance": round(fullest(dict(zip(names, thrown, strict=True)), end), 3),
+            "copies_over_least": copies, "epochs": len(rings) - 1}
--- a/tests/test_fleet_ring.py
+++ b/tests/test_fleet_ring.py
@@ -7,6 +7,7 @@
 
 from cartdeal.fleet.desk import Pact
 from cartdeal.fleet.ring import Damper, Ring, Seat, least, moved, owners, plan, sound, step, stepped
+from cartdeal.lab import rings
 
 KEYS = [b"s/%d" % n for n in range(4000)]
 OWNERS = [("a0002", "a0003", "a0004"),
@@ -97,7 +98,8 @@
             left = Ring(at.epoch, tuple(stay))
             assert moved(left, new) <= max(0.0, share - dead) + 1e-9
             for seat in new.seats:
-                had, goal = left.by_name.get(seat.name, Seat("", "", 0.0)).capacity, wanted[seat.name].capacity
+                had = left.by_name.get(seat.name, Seat("", "", 0.0)).capacity
+                goal = wanted[seat.name].capacity
                 assert seat.capacity <= max(had, goal / 2) or had >= goal / 2
         at = new
     assert at.by_name == wanted and plan(at, wanted, share) is at
@@ -206,3 +208,31 @@
     assert "a0001" in watch.ring.names
     watch.run(2)
     assert watch.changes == 1 and "a0001" not in watch.ring.names
+
+
+# The lab's measure
+
+
+def test_the_lab_counts_what_the_ring_says():
+    known, spots = ring([1, 64, 8, 8, 2]), rings.key_spots(3, 500)
+    first = [known.names[place] for place in rings.first_owners(known, spots)]
+    assert first == [owners(known, b"3/%d" % n, 1)[0] for n in range(500)]
+
+
+def test_points_on_a_circle_are_counted_exactly():
+    points = {}
+    old, new = (rings.Circle(ring(capacities), points) for capacities in ([1, 64, 8, 8], [1, 64, 8, 8, 32]))
+    spots = rings.key_spots(3, 20_000)
+    was, now = old.owner(spots), new.owner(spots)
+    assert abs(old.moved(new) - (was != now).mean()) < 0.02 and set(now[was != now]) == {4}
+    assert abs(sum(new.shares().values()) - 1) < 1e-9
+    assert abs(new.shares()["a0004"] - (now == 4).mean()) < 0.02
+
+
+@pytest.mark.parametrize("event, ours, plain", [("join", 1, 1), ("turnover", 1.6, 1.4), ("flapping", 0, 60)])
+def test_the_lab_measures_each_way(event, ours, plain):
+    rows = [rings.measure(variant, 1, 10, event) for variant in ("cartdeal", "undamped", "circle")]
+    assert abs(rows[0]["moved_over_least"] - ours) < 0.4 and rows[0]["fullest_over_fair"] == 1
+    assert abs(rows[1]["moved_over_least"] - plain) < 0.4
+    assert rows[2]["fullest_over_fair"] > 1.1
+    assert rows[0] == rings.measure("cartdeal", 1, 10, event)
