--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -61,7 +61,7 @@
             (members, self.members), (epochs, self.epochs), (replica, self.replica), (lending, self.lending))
             for kind in module.WORDS}
         self.ring = None
-        self.fenced = self.held_late = False
+        self.fenced = self.held_late = self.caught_up = False
         self.is_leaving = False
         self.served = Counter()         # by tenant, already told to the owners
         self.members.join()
@@ -141,6 +141,10 @@
         self.replica.tick()
         self.lending.tick()
         self.tell_uses()
+        if self.replica.all_caught_up != self.caught_up:
+            self.caught_up = not self.caught_up
+            # Where agents are restarted one after the other, the next one has to wait for this.
+            self.note("caught up" if self.caught_up else "catching up", epoch=self.ring and self.ring.epoch)
         me = self.members.table.get(self.name)
         if me and self.replica.moved != me.moved:
             self.members.about_me(moved=self.replica.moved)
--- a/cartdeal/fleet/replica.py
+++ b/cartdeal/fleet/replica.py
@@ -2,8 +2,8 @@
 range, catch-up (what counts as caught up: ranges.py), and the move of what is kept to the form written now.
 
 It owns the copies that this agent keeps, and the marks that it wrote until all owners have them. It must
-never call an answer sure that not enough owners gave, all of one epoch and caught up; lose an own mark without
-saying so; or let a message, a table or an event grow with what is kept where it could with what differs.
+never call an answer sure that not enough owners gave, all of one epoch and caught up; lose an own mark and not
+say so; or let a message, a table or an event grow with what is kept where it could with what differs.
 
 After Dynamo (DeCandia and others, 2007): preference lists, hinted handoff, anti-entropy; without its sloppy
 quorums, as two that ask different agents would not see each other.
@@ -32,7 +32,7 @@
 COMPARE = 1.0               # seconds between two comparisons with a co-owner
 TRIES = 4                   # of one step in a comparison
 TALKS = 8                   # comparisons at once
-MOST_ASKED = 32             # seats of a ring of which all are asked for whole ranges; in larger ones, key by key
+MOST_ASKED = 32             # seats that are all asked for whole ranges; in a larger ring it goes key by key
 PLACED, MOVED, SWEPT = 2_000, 200, 1_000    # records a tick: owners found anew, form changed, marks dropped
 LEARN = 1.0                 # seconds for which an owner goes on asking for one key
 
@@ -92,8 +92,8 @@
 
 class Seen(Struct, frozen=True, array_like=True, tag="r.seen"):
     """`was`, `now`: for which ranges the answerer counts as a source, by the ring of epoch `former` and by
-    this one; `left`: ranges in which it has records that it no longer owns and the asker does; `knew`: another
-    life of the asker; `sums`: digests by range, 8 bytes each, b"" where all are equal."""
+    this one; `left`: ranges in which it has records that it no longer owns and the asker does; `knew`:
+    another life of the asker; `sums`: digests by range, 8 bytes each, b"" where all are equal."""
 
     DATAGRAM: ClassVar[bool] = False
     number: int
@@ -501,7 +501,9 @@
 
     def begin(self, ticket: int, key: str, mark: Mark | None, until: float):
         each = Open()
-        each.ticket, each.key, each.mark, each.until, each.ended = ticket, key, mark, until, False
+        each.ticket, each.key, each.mark, each.ended = ticket, key, mark, False
+        # One that restarted counts on it that no claim is open for longer than a lease.
+        each.until = min(until, self.desk.now + self.pact.lease_s)
         each.by = mark.by if mark else ""
         each.known = Session()
         number = self.next()
@@ -1187,6 +1189,10 @@
                     total.update(raw_of(key) + records.digest(record))
         return total.digest()
 
+    @property
+    def all_caught_up(self) -> bool:
+        return self.era is not None and self.era.ranges(self.desk.now) == ALL
+
     def figures(self) -> dict:
         era = self.era
         return {
