--- a/tests/test_fleet_gate.py
+++ b/tests/test_fleet_gate.py
@@ -324,8 +324,17 @@
     until(lambda: node.got)
     waiting.close()
     until(lambda: node.got[-1] == ("ended", 1, "never"))
+    assert not deployment.agent.gate.open
     deployment.agent.gate.host.feed("word", 1, "pass")
-    assert not deployment.agent.gate.open and not deployment.agent.reducer.lookups and not deployment.seen()
+    assert not deployment.agent.reducer.lookups and not deployment.seen()
+
+
+def test_event_that_comes_of_an_effect_is_played_after_the_others(deploy):
+    agent, said = deploy()[0].agent, []
+    agent.verbs["note"] = lambda text: (said.append(text), text == "1" and agent.after("note", "4"))
+    agent.reducer.asked = [("note", "1"), ("note", "2")]
+    agent.feed("note", "3")
+    assert said == ["1", "2", "3", "4"] and not agent.playing
 
 
 def test_a_withheld_shot_ends_by_an_event_and_the_lookup_is_terminated(deploy):
