--- a/cartdeal/lab/rings.py
+++ b/cartdeal/lab/rings.py
@@ -146,9 +146,9 @@
     did not give an agent its share); of flapping and wobble, which end where they began, over the least of
     their first change alone (nought moved is 0, flapping that is followed each time is 60).
     `fullest_over_fair`: the fullest agent's share at the end, over what its capacity asks for;
-    `fullest_of_keys`: the same for KEYS real keys, beside `fullest_by_chance`, what dice with exact shares give.
-    `copies_over_least`: copies (3 a key) moved, over the same least ("" where there are many rings, or no zones
-    to spread over). `epochs`: changes of the ring.
+    `fullest_of_keys`: the same for KEYS real keys, beside `fullest_by_chance`, what exact dice give.
+    `copies_over_least`: copies (3 a key) moved, over the same least ("" where rings are many or have no zones
+    to spread them over). `epochs`: changes of the ring.
     """
     told = story(event, fleet(seed, agents), seed)
     begin, end = told[0][1], told[-1][1]
