--- a/cartdeal/fleet/schema.py
+++ b/cartdeal/fleet/schema.py
@@ -32,9 +32,10 @@
 MOST_NUMBER = 1 << 53
 MOST_LIFE = 1 << 63
 
+SIMPLE = frozenset((type(None), bool, int, float, str, bytes))
+
 decoder = msgspec.msgpack.Decoder()
 OWN = tuple(name for name in Mark.__struct_fields__ if name != "extra")
-GROUPED = tuple(name for name in OWN if name not in ("group", "window_ms"))
 
 
 # Bytes
@@ -180,7 +181,7 @@
         raise BadRecord("a record", type(trouble).__name__) from None
     if not isinstance(text, dict):
         raise BadRecord("a record", type(text).__name__)
-    _plain(text, MOST_DEPTH)
+    _plain(text)
     _among(text.get("kind"), "a record's kind", tuple(records.KINDS))
     needs = _whole(text.get("needs"), "needs", 1000)
     if not 1 <= needs <= _whole(text.get("v"), "v", 1000):
@@ -188,25 +189,27 @@
     return text
 
 
-def _plain(value, depth: int):
+def _plain(text: dict):
     """Only what every version's programs can order, keep and write back alike."""
-    if isinstance(value, float):
-        if value != value:
-            raise BadRecord("a number", "nan")
-    elif value is None or isinstance(value, bool | int | str | bytes):
-        return
-    elif not isinstance(value, dict | list):
-        raise BadRecord("a value", type(value).__name__)
-    elif not depth:
-        raise BadRecord("a value", f"more than {MOST_DEPTH} deep")
-    elif isinstance(value, list):
-        for each in value:
-            _plain(each, depth - 1)
-    else:
-        for name, each in value.items():
-            if not isinstance(name, str):
-                raise BadRecord("a field's name", type(name).__name__)
-            _plain(each, depth - 1)
+    level = [text]
+    for _ in range(MOST_DEPTH):
+        below = []
+        for each in level:
+            if type(each) is dict:
+                for name in each:
+                    if type(name) is not str:
+                        raise BadRecord("a field's name", type(name).__name__)
+                each = each.values()
+            for value in each:
+                kind = type(value)
+                if kind is dict or kind is list:
+                    below.append(value)
+                elif kind not in SIMPLE or value != value:
+                    raise BadRecord("a value", "nan" if kind is float else kind.__name__)
+        if not below:
+            return
+        level = below
+    raise BadRecord("a value", f"more than {MOST_DEPTH} deep")
 
 
 def _whole(value, what: str, most: int = MOST_NUMBER) -> int:
