Take a file that is read again over in each part of the fleet, not in the limits alone

The node kept the new pact for itself and the limits; capacity, damping, steps and hold_version stayed as at the start until a restart, though the file said they were taken over. Seen: a running fleet moves to version 2 and to a changed capacity; the test fails without it.

--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -228,9 +228,13 @@
         return self.replica.settled
 
     def reread(self, pact: Pact):
-        """Takes over what a running agent can: limits, and how doubt is met."""
-        self.pact = pact
+        """Takes over what a running agent can; papers.py says which keys these are."""
+        self.pact = self.members.pact = self.epochs.pact = self.replica.pact = pact
+        self.epochs.damper.share, self.epochs.damper.wait = pact.damp_share, pact.damp_s
         self.lending.reread(pact)
+        self.members.about_me(capacity=pact.capacity)
+        if self.ring is not None:
+            self.fence(self.ring)
 
     # What the parts answer
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -1,5 +1,7 @@
 """Thin end-to-end over the in-memory fleet; the stories go further."""
 
+from msgspec.structs import replace
+
 from cartdeal.fleet.desk import Limit, Pact
 from cartdeal.fleet.memory import Memory
 from cartdeal.fleet.verdict import Question
@@ -49,3 +51,16 @@
     memory.run(5.0)
     memory.judge.equal({name: node.replica.digest_all() for name, node in memory.nodes().items()}, "all keys")
     assert memory.judge.close() == [] and memory.nodes()["a0"].replica.held()
+
+
+def test_file_read_again_moves_what_it_changes_in_a_running_fleet():
+    memory = fleet(hold_version=1)
+    nodes = memory.nodes()
+    assert {node.ring.written for node in nodes.values()} == {1}
+    for name, node in nodes.items():
+        changes = {"hold_version": 0, "capacity": 4.0 if name == "a0" else 1.0, "damp_s": 0.5}
+        memory.places[name].play(node.reread, replace(node.pact, **changes))
+    memory.run(20.0)
+    assert memory.one_ring()
+    ring = nodes["a1"].ring
+    assert ring.written == 2 and [seat.capacity for seat in ring.seats] == [4.0, 1.0, 1.0]
