--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -222,6 +222,17 @@
     assert played.shots == [0, 0, 2]
 
 
+def test_service_moved_to_is_asked_at_once_and_again_in_time_for_all_it_has(world):
+    played = world([(0.0, LIST)], [], [(0.0, HEAD + told(2, server("s2"), whole=True))], chance=0.999999)
+    played.roster.watching.join()       # the old one fell silent, and a pause is on
+    moved = played.now
+    played.roster.move(("127.0.0.1", 2))
+    played.feed("list_moved")
+    played.play(moved + 4.0)    # what changed counts by then
+    assert [path[-7:] for _, path in played.calls[1:3]] == ["after=0"] * 2 and played.calls[1][0] == moved
+    assert played.calls[2][0] < moved + 3.8 and played.reducer.version == 2
+
+
 def test_lists_may_come_indented(world):
     text = HEAD + told(8, server("s1", state="leaving"), server("s2{"), whole=True, indent=2)
     played = world([(0.0, text[:90]), (0.1, text[90:]), (2.0, BEAT + told(9, server("s2{", cell=1)))])
