--- /dev/null
+++ b/cartdeal/fleet/days.py
@@ -0,0 +1,242 @@
+"""Days of random faults over an in-memory fleet with clients, each ended by a quiet stretch and judged.
+
+`day` gives figures for one seed, the same in every process. It must never let a fault depend on what an agent
+thinks: what goes wrong is drawn from the seed alone.
+"""
+
+from cartdeal.emulator.clock import chance
+from cartdeal.fleet.desk import Limit, Pact
+from cartdeal.fleet.memory import Memory, Weather
+from cartdeal.fleet.verdict import Question
+
+LIMITS = {"shop": Limit(8.0, 6.0), "deli": Limit(1.5, 2.0)}     # asked for more often than that
+SESSIONS = 40       # that clients share, so that their marks stand side by side
+FAULTS = {          # kind -> how often, beside the others
+    "kill": 5, "flap": 1, "mass": 1, "stop": 3, "leave": 2, "join": 2, "cut": 3, "deafen": 3, "weather": 3,
+    "capacity": 1, "skew": 1}
+
+
+class Day:
+    def __init__(self, seed: int, agents: int, seconds: float, pause_s: float, lookups: float, upgrade: bool,
+                 apart: float, terms: dict):
+        seeds = {f"a{n}": f"10.0.0.1:{n + 1}" for n in range(agents)}
+        pact = Pact(**{"fleet": "day", "name": "", "key": b"k" * 32, "seeds": seeds, "limits": LIMITS,
+                       "longest_mark_s": 15.0, **terms})
+        self.fleet = fleet = Memory(pact, seed)
+        self.fates, self.people = chance(seed, "day/faults"), chance(seed, "day/clients")
+        self.seconds, self.pause_s, self.lookups, self.upgrade = seconds, pause_s, lookups, upgrade
+        self.cuts: list[set] = []
+        self.patient: list[str] = []
+        self.joined, self.at, self.log = 0, 0.0, []
+        for number in range(agents):
+            place = fleet.add(f"a{number}", zone=f"z{number % 3}", start=False,
+                              capacity=self.fates.choice([1.0, 1.0, 2.0, 4.0]),
+                              **({"reads": (1, 1)} if upgrade else {}))
+            place.rate = 1.0 + apart * self.fates.random()
+            place.skew = self.fates.choice([0.0, 0.0, 0.0, 0.2, -0.2, 10.0, -10.0])
+            fleet.clock.at(self.fates.random(), place.start)
+
+    def after(self, seconds, do, *args):
+        """Not after the day's end: then all is healed."""
+        end = self.at + self.seconds
+        if self.fleet.clock.now + seconds < end:
+            self.fleet.clock.after(seconds, do, *args)
+
+    # Faults
+
+    def fault(self):
+        kind = self.fates.choices(list(FAULTS), list(FAULTS.values()))[0]
+        getattr(self, kind)(self.some())
+        self.after(self.fates.expovariate(1 / self.pause_s), self.fault)
+
+    def some(self):
+        return self.fates.choice(list(self.fleet.places))
+
+    def wrote(self, *words):
+        self.log.append((round(self.fleet.clock.now, 3), *words))
+
+    def start(self, name):
+        if self.fleet.places[name].node is None:
+            self.wrote("start", name)
+            self.fleet.start(name)
+
+    def kill(self, name):
+        self.wrote("kill", name)
+        self.fleet.kill(name)
+        self.after(self.fates.choice([0.05, 1.0, 4.0, 12.0]) * (0.5 + self.fates.random()), self.start, name)
+
+    def flap(self, name):
+        for turn in range(self.fates.randrange(2, 8)):
+            self.after(1.5 * turn, self.fleet.kill, name)
+            self.after(1.5 * turn + 0.7, self.start, name)
+        self.wrote("flap", name)
+
+    def mass(self, name):
+        names = self.fates.sample(list(self.fleet.places), len(self.fleet.places) // 2)
+        for each in names:
+            self.kill(each)
+
+    def stop(self, name):
+        seconds = self.fates.uniform(0.5, 9.0)
+        self.wrote("stop", name, round(seconds, 3))
+        self.fleet.stop(name, seconds)
+
+    def leave(self, name):
+        if self.fleet.places[name].runs:
+            self.wrote("leave", name)
+            self.fleet.leave(name)
+            self.after(self.fates.uniform(2.0, 15.0), self.start, name)
+
+    def join(self, name):
+        if self.joined < 3:
+            self.joined += 1
+            new = f"b{self.joined}"
+            self.wrote("join", new)
+            self.fleet.add(new, zone=f"z{self.joined % 3}", capacity=self.fates.choice([1.0, 2.0, 8.0]))
+
+    def cut(self, name):
+        names = list(self.fleet.places)
+        here = self.fates.sample(names, self.fates.randrange(1, len(names)))
+        there = [each for each in names if each not in here]
+        self.part({(a, b) for a in here for b in there} | {(b, a) for a in here for b in there}, "cut", here)
+
+    def deafen(self, name):
+        others = [each for each in self.fleet.places if each != name]
+        others = self.fates.sample(others, self.fates.randrange(1, len(others) + 1))
+        if self.fates.random() < 0.5:
+            self.part({(name, each) for each in others}, "unheard", [name, *others])
+        else:
+            self.part({(each, name) for each in others}, "deaf", [name, *others])
+
+    def part(self, cut, *words):
+        seconds = self.fates.choice([1.0, 4.0, 10.0, 20.0]) * (0.5 + self.fates.random())
+        self.wrote(*words, round(seconds, 3))
+        self.cuts.append(cut)
+        self.joint()
+        self.after(seconds, self.mend, cut)
+
+    def mend(self, cut):
+        self.cuts.remove(cut)
+        self.joint()
+
+    def joint(self):
+        self.fleet.cuts = {pair for cut in self.cuts for pair in cut}
+
+    def weather(self, name):
+        fates = self.fates
+        self.fleet.weather = Weather(
+            lose=0.3 * fates.random(), double=0.2 * fates.random(), jitter_s=fates.choice([0.002, 0.02, 0.1]),
+            late=0.1 * fates.random(), late_s=5.0)
+        self.wrote("weather", self.fleet.weather)
+        self.after(fates.uniform(2.0, 12.0), setattr, self.fleet, "weather", Weather())
+
+    def capacity(self, name):
+        capacity = self.fates.choice([0.5, 1.0, 1.1, 2.0, 4.0])
+        self.wrote("capacity", name, capacity)
+        self.fleet.capacity(name, capacity)
+
+    def skew(self, name):
+        """A wall clock is set while its agent runs; should it start anew, it begins with it."""
+        self.fleet.places[name].skew = self.fates.choice([0.0, 0.3, -0.3, 10.0, -10.0])
+        self.wrote("skew", name, self.fleet.places[name].skew)
+
+    def upgraded(self, name, reads):
+        self.wrote("program", name, reads)
+        self.fleet.kill(name)
+        self.fleet.start(name, reads=reads)
+
+    # Clients
+
+    def client(self):
+        people, fleet = self.people, self.fleet
+        number = fleet.intents
+        tenant = people.choices(["", "shop", "deli"], [4, 5, 1])[0]
+        repeat = people.choices(["i", "d", "u"], [6, 3, 3])[0]
+        question = Question(
+            tenant=tenant, session=f"{people.randrange(SESSIONS):02}", key=f"k{number}", repeat=repeat,
+            group=people.choice(["all", "zone", "cell"]) if repeat == "d" else "all",
+            window_s=people.uniform(0.5, 8.0) if repeat == "d" else 0.0, limit_s=4.0, workload="w")
+        agents, takes = list(fleet.places), people.choice([0.02, 0.05, 0.5, 1.5])
+        if people.random() < 0.1:       # a client that doesn't wait for its answer, and comes again
+            patience = takes / 2
+        else:
+            patience = takes + people.choice([0.3, 1.0])
+            self.patient.append(f"i{number + 1}")
+        fleet.intend(question, people.sample(agents, len(agents)), people.randrange(1, 5), takes, patience)
+        fleet.clock.after(people.expovariate(self.lookups), self.client)
+
+    # The day
+
+    def play(self, quiet: float) -> dict:
+        fleet, clock = self.fleet, self.fleet.clock
+        founded = fleet.until(fleet.one_ring, 30.0)
+        fleet.run(12.0)
+        self.at = clock.now
+        clock.after(0.0, self.client)
+        if self.upgrade:
+            for name in list(fleet.places):
+                self.after(self.fates.uniform(0.1, 0.7) * self.seconds, self.upgraded, name, (1, 2))
+            self.after(0.8 * self.seconds, self.upgraded, self.some(), (1, 1))
+        self.fault()
+        fleet.run(self.seconds)
+        clients, self.lookups = self.lookups, 1e-9
+        for name, place in fleet.places.items():
+            if place.stopped:
+                place.go_on()
+            reads = {"reads": (1, 2)} if self.upgrade and place.pact.reads != (1, 2) else {}
+            if reads:
+                fleet.kill(name)
+            if place.node is None:
+                fleet.start(name, **reads)
+        fleet.weather, self.cuts = Weather(), []
+        self.joint()
+        self.wrote("healed")
+        return self.judged(founded, clients, quiet)
+
+    def settled(self) -> bool:
+        """One ring, of all that run, in the newest version that all read."""
+        ring = next(iter(self.fleet.nodes().values())).ring
+        return (self.fleet.one_ring() and set(ring.names) == set(self.fleet.nodes())
+                and (ring.written, ring.phase) == (2, "steady"))
+
+    def judged(self, founded, clients, quiet) -> dict:
+        fleet, judge = self.fleet, self.fleet.judge
+        healed, asked = fleet.clock.now, len(self.patient)
+        fleet.run(4.0)
+        lost = judge.lost(fleet.copies(), max(node.wall for node in fleet.nodes().values()) * 1e3)
+        one_ring = fleet.until(self.settled, quiet) + 4.0
+        equal = fleet.until(fleet.equal_copies, quiet, 0.5) + fleet.clock.now - healed
+        # The fleet is as before: all that come are served.
+        self.lookups = clients
+        self.client()
+        fleet.run(20.0)
+        self.lookups = 1e-9
+        fleet.run(5.0)
+        if one_ring == float("inf"):
+            judge.violated(f"no one ring {quiet} s after all was healed")
+        if equal == float("inf"):
+            judge.violated(f"no equal copies {quiet} s after the ring was one")
+        found = list(judge.close())
+        alive, messages = len(fleet.places) * fleet.clock.now, fleet.count["messages"]
+        return {
+            "seed": fleet.seed, "agents": len(fleet.places), "violations": len(found), "found": found,
+            "lookups": fleet.intents, "served": self.served(self.patient[:asked]),
+            "served_after": self.served(self.patient[asked:]),
+            "founded_s": round(founded, 2), "one_ring_s": round(one_ring, 2), "equal_s": round(equal, 2),
+            "messages": round(messages / alive, 2), "bytes": round(sum(fleet.bytes.values()) / alive, 1),
+            "marks": len(judge.marks), "marks_lost": lost,
+            "over_limit": round(max(map(judge.over, judge.limits)), 3), "rings": len(judge.shown),
+            "notes": dict(sorted(fleet.noted.items()))}
+
+    def served(self, intents) -> float:
+        """Of lookups whose clients wait for their answers; tenants ask for more than their limits."""
+        return round(sum("completed" in self.fleet.outcomes[each] for each in intents) / len(intents), 4)
+
+
+def day(seed: int, agents: int = 6, seconds: float = 60.0, *, quiet: float = 90.0, pause_s: float = 4.0,
+        lookups: float = 20.0, upgrade: bool = False, apart: float = 0.001, **terms) -> dict:
+    """Figures of one day. `pause_s`: between faults, on average; `lookups`: a second; `upgrade`: the program
+    is brought up agent by agent, and one rolled back; `apart`: share by which monotonic clocks differ;
+    `terms`: further keys of the operator file. "found" lists what the judge found; "messages" and "bytes" are
+    by agent and second; "one_ring_s" and "equal_s" count from when all was healed."""
+    return Day(seed, agents, seconds, pause_s, lookups, upgrade, apart, terms).play(quiet)
