--- a/cartdeal/fleet/replica.py
+++ b/cartdeal/fleet/replica.py
@@ -2,8 +2,8 @@
 range, catch-up (what counts as caught up: ranges.py), and the move of what is kept to the form written now.
 
 It owns the copies that this agent keeps, and the marks that it wrote until all owners have them. It must
-never call an answer sure that not enough owners gave, all of one epoch and caught up; lose an own mark and not
-say so; or let a message, a table or an event grow with what is kept where it could with what differs.
+never call an answer sure that not enough owners gave, all of one epoch and caught up; lose an own mark and
+not say so; or let a message, a table or an event grow with what is kept where it could with what differs.
 
 After Dynamo (DeCandia and others, 2007): preference lists, hinted handoff, anti-entropy; without its sloppy
 quorums, as two that ask different agents would not see each other.
@@ -33,7 +33,9 @@
 TRIES = 4                   # of one step in a comparison
 TALKS = 8                   # comparisons at once
 MOST_ASKED = 32             # seats that are all asked for whole ranges; in a larger ring it goes key by key
-PLACED, MOVED, SWEPT = 2_000, 200, 1_000    # records a tick: owners found anew, form changed, marks dropped
+PLACED = 2_000              # records a tick whose owners are found anew; fewer where there are many seats
+MOVED, SWEPT = 200, 1_000   # records a tick whose form is changed, or whose marks are dropped
+WARM = 4_096                # records kept as objects, too, as reading one takes longer than all else
 LEARN = 1.0                 # seconds for which an owner goes on asking for one key
 
 
@@ -241,6 +243,7 @@
         # Owner
         self.store: dict[str, Kept] = {}
         self.ranges: list[dict[str, Kept]] = [{} for _ in range(RANGES)]
+        self.warm: dict[str, Record] = {}       # never changed in place
         self.sums: dict[str, list[int]] = {}    # peer -> digest by range of what both own
         self.left: dict[str, list[int]] = {}    # peer -> how many records by range it owns and we only keep
         self.unplaced: list[int] = []           # ranges whose owners by this ring are yet to be found
@@ -253,6 +256,7 @@
         self.open: dict[int, Open] = {}
         self.mine: dict[str, Own] = {}
         self.uses: dict[str, Use] = {}      # own counts of the last periods, by tenant
+        self.coming: dict[str, Use] = {}    # others' counts, merged into the store once a second
         self.used: dict[str, None] = {}     # of these, which have grown since they were told
         self.lines: dict[str, Line] = {}
         self.handing: dict[str, dict[str, None]] = {}   # key no longer ours -> new owners to be given it
@@ -314,10 +318,11 @@
     def place_anew(self):
         self.sums, self.left, self.handing = {}, {}, {}
         self.unplaced = list(range(RANGES))
-        self.place(PLACED)
+        self.place()
 
-    def place(self, most: int):
-        """Finds owners by the present ring for so many records, by whole ranges."""
+    def place(self):
+        """Finds some records' owners by the present ring, by whole ranges."""
+        most = min(PLACED, 50 * PLACED // len(self.ring.seats))
         while self.unplaced and most > 0:
             for key, kept in self.ranges[self.unplaced[-1]].items():
                 if kept.era is not self.era:
@@ -362,8 +367,17 @@
     # Store
 
     def record(self, key: str) -> Record | None:
-        kept = self.store.get(key)
-        return schema.decode(key[0], kept.data, self.pact.reads[1]) if kept else None
+        record = self.warm.get(key)
+        if record is None and key in self.store:
+            record = schema.decode(key[0], self.store[key].data, self.pact.reads[1])
+            self.keep_warm(key, record)
+        return record
+
+    def keep_warm(self, key: str, record: Record):
+        self.warm.pop(key, None)
+        self.warm[key] = record
+        if len(self.warm) > WARM:
+            del self.warm[next(iter(self.warm))]
 
     def written(self, key: str, record: Record) -> bytes:
         return schema.encode(key[0], record, *self.stage, knows=self.pact.reads[1])
@@ -409,6 +423,7 @@
             self.desk.count("records too large")
             self.desk.note("record too large", words=str(trouble))
             return False
+        self.keep_warm(key, record)
         place = range_of(key)
         if kept is None:
             kept = self.store[key] = self.ranges[place][key] = Kept()
@@ -433,6 +448,7 @@
 
     def drop(self, key: str):
         kept = self.store.pop(key)
+        self.warm.pop(key, None)
         del self.ranges[range_of(key)][key]
         self.old_form -= kept.stage != self.stage
         if kept.era is self.era and self.era is not None:
@@ -526,7 +542,7 @@
             own = self.mine.get(each.key)
             if own:     # earlier marks that not all have yet go along
                 raw, each.turn = self.sendable(each.key, own.record) or b"", own.turn
-            raw = raw or self.written(each.key, Session({each.by: each.mark}))
+            raw = raw or self.sendable(each.key, Session({each.by: each.mark})) or b""
         words = Claim(number, self.life, each.epoch, each.key, each.by, raw)
         for name in whom:
             if name != self.name:
@@ -605,6 +621,10 @@
         self.used[tenant] = None
 
     def tell_uses(self):
+        coming, self.coming = self.coming, {}
+        for key, use in coming.items():
+            if self.name in self.owners(key):
+                self.merge(key, use)
         used, self.used = self.used, {}
         for key in [f"u/{tenant}" for tenant in used if tenant in self.uses]:
             self.own(key, self.uses[key[2:]])
@@ -631,9 +651,15 @@
         """Our own part, where we are an owner."""
         own = self.mine.get(key)
         if own and self.name in self.owners(key):
-            self.merge(key, own.record)
+            self.take(key, own.record)
             self.settle(key, own)
 
+    def take(self, key: str, record: Record) -> bool:
+        if isinstance(record, Session) or key not in self.store or len(self.coming) >= self.pact.most_waiting:
+            return self.merge(key, record)
+        self.coming[key] = records.merge(self.coming[key], record) if key in self.coming else record
+        return True
+
     def own_anew(self, old: Ring | None):
         """After a change of ring: who has an own mark already still has it, the new owners lack it."""
         self.lines = {name: line for name, line in self.lines.items() if name in self.ring.by_name}
@@ -724,7 +750,10 @@
             return self.desk.count("dropped old epoch")
         out, line.out, refused = line.out, {}, set(words.refused)
         for key, turn in out.items():
-            if key not in refused:
+            if key in refused:
+                line.keys.pop(key, None)
+                line.keys[key] = None       # after all others
+            else:
                 self.has(key, sender, turn)
                 if sender in self.handing.get(key, ()):
                     del self.handing[key][sender]
@@ -734,7 +763,9 @@
                 if not (own and sender in own.lacks):
                     line.keys.pop(key, None)
         if refused:
-            self.desk.count("owners full")      # it has no room: the pause grows as if it were absent
+            # No room there, or a clock is wrong: the pause grows as if it were absent, but less.
+            self.desk.count("hints refused")
+            line.pause = min(line.pause, 1.0)
         else:
             line.pause, line.next_at = AGAIN, self.desk.now
             self.send_line(sender, line)
@@ -819,7 +850,7 @@
         refused = []
         for key, raw in words.records[:MOST_ITEMS]:
             record = self.read_in(key, raw)
-            if record is not None and self.name in self.owners(key) and not self.merge(key, record):
+            if record is None or self.name in self.owners(key) and not self.take(key, record):
                 refused.append(key)
         if words.number:
             self.desk.send(sender, Took(words.number, words.life, words.epoch, tuple(refused)))
@@ -1029,15 +1060,17 @@
             return
         piece, size, count = [], 0, 0
         for key in words.keys[:PAGE]:
-            kept = self.store.get(key)
-            raw = self.sendable(key, self.record(key)) if kept and sender in self.owners(key) else None
-            if piece and raw and size + len(raw) > PIECE:
+            raw = b""
+            if key in self.store and sender in self.owners(key):
+                raw = self.sendable(key, self.record(key))
+            if raw is None or piece and size + len(raw) > PIECE:
                 break
             count += 1
             if raw:
                 piece.append((key, raw))
                 size += len(raw) + len(key)
-        self.desk.send(sender, Brought(words.number, words.life, words.epoch, count, tuple(piece)))
+        if count:       # else it can't have that record: it must not take it for one that is over
+            self.desk.send(sender, Brought(words.number, words.life, words.epoch, count, tuple(piece)))
 
     def heard_brought(self, sender: str, words: Brought):
         talk = self.answered(sender, words, Fetch)
@@ -1046,12 +1079,11 @@
         asked, talk.want = talk.want[:words.count], talk.want[words.count:]
         brought, back = dict(words.records[:PAGE]), []
         for key in asked:
-            record = self.read_in(key, brought[key]) if key in brought else None
-            if record is None:
+            if key not in brought:
                 continue
-            if not self.merge(key, record):
-                # No room: it can't count as caught up with.
-                talk.was = talk.now = 0
+            record = self.read_in(key, brought[key])
+            if record is None or not self.merge(key, record):
+                talk.was = talk.now = 0     # no room, or refused: it can't count as caught up with
                 continue
             kept = self.store.get(key)
             if kept and kept.digest[:8] != talk.theirs[key] and {sender, self.name} <= set(kept.owners):
@@ -1074,7 +1106,7 @@
                 each.asked_at = now
                 self.ask_owners(number, [name for name in each.owners
                                          if name not in each.read or each.by and name not in each.wrote])
-        self.place(PLACED)
+        self.place()
         self.sweep(SWEPT)
         self.move()
         self.learn_on(now)
@@ -1123,6 +1155,8 @@
                 continue
             if era.way == FIRST:
                 finished = source in era.clean
+            elif len(era.sources) > MOST_ASKED:
+                finished = source in era.now    # the records; who counts as a source is asked key by key
             else:
                 finished = (era.was if era.way == GAINING else era.now).get(source, 0) == ALL
             again_at, pause = self.asked.get(source, (0.0, AGAIN))
