--- a/cartdeal/fleet/buckets.py
+++ b/cartdeal/fleet/buckets.py
@@ -134,8 +134,8 @@
 ASK_ANY, ASK_WHOLE, ASK_PIECE = 0, 1, 2     # what a holder can use: anything, whole amounts, no standing loan
 
 RESERVE = 1 / 16    # of the rate, never lent: it fills the bucket, for newcomers
-ROOM = 1.25         # of its demand, lent to a holder that asks for no more
-PIECEMEAL = 2.0     # with less than so many tokens of burst for each holder, single tokens are lent
+ROOM = 0.92         # of its demand is lent to a holder as a rate; the rest it draws from the bucket as it comes
+PIECEMEAL = 4.0     # with fewer tokens for each holder, of burst or in a lease, they are lent singly
 
 
 class Bucket:
@@ -151,6 +151,7 @@
         self.tokens = self.ready = 0.0
         self.step, self.at, self.period = tenure.steps[0].number, tenure.steps[0].at, -1
         self.ends = inf                 # of the period
+        self.piecemeal = False
         self.rival = ((), -inf)         # who is preferred for parts of a token, since when
         self.limited(limit)
 
@@ -275,7 +276,9 @@
         mine = kept[0].burst if kept else 0.0
         self.tokens = max(min(self.tokens, burst - lent - mine), 0.0)
         active = [each for each in self.holders.values() if each.heard > now - self.lease]
-        if ask.mode != ASK_ANY or self.burst < PIECEMEAL * (len(active) + 1):
+        enough = (1.5 if self.piecemeal else 1.0) * PIECEMEAL
+        self.piecemeal = self.burst < enough * (len(active) + 1) or self.rate * self.lease < enough * len(active)
+        if self.piecemeal or ask.mode != ASK_ANY:
             given = self.piece(who, kept, ask, share, burst - lent, top)
         else:
             given = self.standing(holder, active, ask, rate, others, burst, lent, mine, top)
--- a/cartdeal/fleet/lending.py
+++ b/cartdeal/fleet/lending.py
@@ -154,6 +154,12 @@
         self.used = self.told = -inf    # told: when an owner last said for certain what there is
         self.dry_until, self.hint, self.due = -inf, 0.0, inf
         self.how = 0                    # the kind of loan that came last
+        self.asked = -inf
+
+    @property
+    def low(self) -> float:
+        """With fewer tokens than this, more are asked for before a lookup has to wait."""
+        return max(1.0, sum(held.most for held in self.loans.values()) / 4) if self.how != PIECE else 0.0
 
     def level(self, now: float) -> float:
         """Tokens that may be used at this moment; what is over is forgotten."""
@@ -258,7 +264,7 @@
         ward.used = now
         if not ward.waiting and ward.take(now):
             self.serve(ward, ticket, now)
-            if ward.level(now) < 1 and now >= ward.dry_until and ward.how != PIECE:
+            if ward.level(now) < ward.low and now >= max(ward.dry_until, ward.asked + self.pact.lease_s / 8):
                 self.ask(ward, now)
                 self.flush()
             return
@@ -298,8 +304,13 @@
             ward.dry_until = now + pause * (1 + 0.5 * self.desk.random.random())
         while ward.waiting:
             self.deny(ward, self.unqueue(ward), now)
-        if any(held.how == PIECE for held in ward.loans.values()):
-            self.give_back(ward, PIECE)
+        self.spare(ward, now)
+
+    def spare(self, ward, now):
+        """Gives back single tokens that nobody waits for, and whole ones that would be void before they are used."""
+        few = ward.demand.now(now) * self.pact.period_s < 4
+        if any(held.how == PIECE or held.how == PERIOD and few for held in ward.loans.values()):
+            self.give_back(ward, (PIECE, PERIOD) if few else (PIECE,))
 
     def unqueue(self, ward) -> int:
         self.waits -= 1
@@ -331,6 +342,7 @@
                 continue
             self.sequences += 1
             line.sequence, line.asked = self.sequences, now
+            ward.asked = now
             demand = ward.demand.now(now) / len(names_all)
             keep = 1 / len(names_all) + demand * (
                 self.pact.period_s / 4 if ward.how == PERIOD else self.pact.lease_s)
@@ -344,7 +356,8 @@
                     back = held.level - keep
                     held.level = held.most = keep
                 # The answer's tokens must find room under the cap that the owner counts, whenever they come.
-                held.top = min(held.most, held.level + held.rate * self.pact.tick_s)
+                room = max(held.most - held.level, 0.0)
+                held.top = held.level + min(held.rate * self.pact.tick_s, room / 2)
                 words |= {"holds": held.number, "most": held.most, "top": held.top, "back": back,
                           "want": max(keep - held.level, 0.0)}
             elif held is not None:
@@ -383,10 +396,10 @@
         ward.loans[sender] = new
         return ward
 
-    def give_back(self, ward, how=None):
-        """Lets loans go, of one kind or all, and with them the asks that wait for more."""
+    def give_back(self, ward, hows=(PERIOD, REFILL, PIECE)):
+        """Lets loans go, of some kinds or all, and with them the asks that wait for more."""
         for name, held in list(ward.loans.items()):
-            if how is None or held.how == how:
+            if held.how in hows:
                 del ward.loans[name]
                 if held.life == self.lives.get(name):
                     self.sequences += 1
@@ -466,7 +479,7 @@
                     names.append(name)
             self.ask(ward, now, names)
         elif not ward.waiting and not ward.pending(now - self.pact.wait_s):
-            self.give_back(ward, PIECE)
+            self.spare(ward, now)
         self.plan(ward, now)
 
     def figures(self) -> dict:
--- a/tests/test_fleet_lending.py
+++ b/tests/test_fleet_lending.py
@@ -79,7 +79,12 @@
     def decide(self, names):
         self.rings.append(Ring(len(self.rings) + 1, tuple(Seat(n, "", 1.0) for n in sorted(names)), self.version))
 
+    def turn(self):
+        self.version = 3 - self.version
+        self.decide(self.rings[-1].names)
+
     def start(self, name):
+        self.waiting = {ticket: of for ticket, of in self.waiting.items() if of[1] != name}     # they died with it
         agent = self.agents[name] = Agent(self, name)
         self.at(self.now, partial(self.tick, agent))
         self.at(self.now, partial(self.vouch, agent))
@@ -131,7 +136,7 @@
 
         def goes_on():
             agent.stopped = False
-            for sender, text in agent.queue:
+            for sender, text in agent.queue if self.agents[name] is agent else ():
                 agent.part.heard(sender, WIRE.decode(text))
             agent.queue = []
         self.at(self.now + seconds, goes_on)
@@ -173,6 +178,39 @@
         return worst - 1e-6
 
 
+def rough(seed, kind=Lending, until=30.0, steps=False, **about):
+    """A day of everything at once: loss, doubles, lateness, cuts, stops, restarts, rings in quick succession."""
+    chance = Random(f"rough {seed}")
+    limit = chance.choice((Limit(20.0, 60.0), Limit(5.0, 40.0), Limit(50.0, 20.0), Limit(2.0, 3.0)))
+    names = "abcdef"[:chance.randint(2, 6)]
+    net = Net(names, seed, kind, **{"limit": limit, "clock_drift": 0.05, **about})
+    net.lost, net.doubled, net.late = (chance.choice((0.0, 0.05, 0.3)) for _ in range(3))
+    for name in names:
+        net.load(name, chance.choice((0.1, 1.0, 3.0)) * limit.rate, 0, until)
+    when = 3.0
+    while (when := when + chance.expovariate(1.0)) < until:
+        name, other, long = chance.choice(names), chance.choice(names), chance.choice((0.2, 1.0, 3.0, 6.0))
+        what = chance.randrange(6 + steps)
+        if what == 0:
+            net.at(when, partial(net.stop, name, long))
+        elif what == 1:
+            net.at(when, partial(net.start, name))
+        elif what == 2:
+            for _ in range(chance.randint(1, 3)):
+                net.at(when, partial(net.decide, chance.sample(names, chance.randint(1, len(names)))))
+                when += chance.uniform(0.05, 1.0)
+        elif what == 6:
+            net.at(when, net.turn)
+        else:
+            cuts = {(name, other)} if what == 3 else {(name, "majority")} if what == 4 else {
+                ends for each in (*names, "majority") for ends in ((name, each), (each, name))}
+            net.at(when, partial(net.cut.update, cuts))
+            net.at(when + long, partial(net.cut.difference_update, cuts))
+    net.run(until + 8)
+    assert not net.waiting      # each lookup is answered, whatever comes
+    return net
+
+
 def test_nobody_is_over_and_a_steady_tenant_gets_its_share():
     net = Net("abc", seed=1)
     for name, rate in zip(net.names, (45, 15, 6), strict=True):
