Ask for whole ranges in rings of up to 128 seats

Need: in a ring of over 32 seats an agent called itself caught up by time alone, 12 s with a longest mark of 10 s, so a rolling upgrade would wait for that at each agent.

--- a/cartdeal/fleet/replica.py
+++ b/cartdeal/fleet/replica.py
@@ -32,7 +32,7 @@
 COMPARE = 1.0               # seconds between two comparisons with a co-owner
 TRIES = 4                   # of one step in a comparison
 TALKS = 8                   # comparisons at once
-MOST_ASKED = 32             # seats that are all asked for whole ranges; in a larger ring it goes key by key
+MOST_ASKED = 128            # seats that are all asked for whole ranges; in a larger ring it goes key by key
 PLACED = 2_000              # records a tick whose owners are found anew; fewer where there are many seats
 MOVED, SWEPT = 200, 1_000   # records a tick whose form is changed, or whose marks are dropped
 WARM = 4_096                # records kept as objects, too, as reading one takes longer than all else
@@ -1161,7 +1161,7 @@
                 finished = (era.was if era.way == GAINING else era.now).get(source, 0) == ALL
             again_at, pause = self.asked.get(source, (0.0, AGAIN))
             if not finished and now >= again_at:
-                pause = min(2 * pause, LONGEST_PAUSE)
+                pause = min(2 * pause, LONGEST_PAUSE * max(1.0, len(era.sources) / 32))
                 if era.way == RESTARTED and now < era.ready_at:
                     again_at = max(era.ready_at, now + AGAIN)   # its records now, its word then
                 else:
--- a/tests/test_fleet_replica.py
+++ b/tests/test_fleet_replica.py
@@ -393,7 +393,8 @@
     assert net["b"].counts["dropped old epoch"] > late and net["a"].replica.newest == 2
 
 
-def test_in_a_larger_fleet_former_owners_hand_over_unasked():
+def test_in_a_larger_fleet_former_owners_hand_over_unasked(monkeypatch):
+    monkeypatch.setattr(replica, "MOST_ASKED", 32)
     names = [f"n{number:02}" for number in range(40)]
     net = Net(names)
     for sid in range(60):
