Be in doubt of what ran before the fleet was founded, and set a clock by the majority's

Each ring now carries when the fleet was founded; until longest_mark_s after that, what may be a repeat and is not known ends in doubt. A joining agent took the time of whichever message came last, so one that waited for a second set the fleet's time back; it now goes by the median of its peers' clocks, once, when it learns the ring. The digest of a ring covers the new field.

--- a/cartdeal/fleet/epochs.py
+++ b/cartdeal/fleet/epochs.py
@@ -178,7 +178,7 @@
         self.rounds: dict[int, float] = {}
         self.ask_round, self.eager = -inf, 0.1
         self.heard_at: list[float] = [-inf] * len(self.base.seats)
-        self.kth: float | None = None
+        self.kth, self.kth_old = -inf, False    # since when a majority has vouched; it only grows
         self.aged, self.last_ages = -inf, b""
         self.owed: dict[str, Vouch] = {}
         self.place = {name: place for place, name in enumerate(self.base.names)}
@@ -258,7 +258,8 @@
             return None
         seats = [Seat(peer.name, peer.zone, float(peer.capacity)) for _, peer in sorted(self.live.items())]
         written = max((peer.reads[0] for peer in self.live.values()), default=1)
-        new = Ring(1, tuple(seats[:self.pact.most_agents]), max(1, written))
+        new = Ring(1, tuple(seats[:self.pact.most_agents]), max(1, written),
+                   founded_ms=int(self.desk.wall * 1e3))
         return new if sound(new, self.pact.most_agents) else None
 
     def seek(self):
@@ -517,9 +518,9 @@
             self.targets[sender] = 0
         unit, when = words.unit_ms / 1000, self.heard_at
         for place, age in enumerate(words.ages):
-            if age != UNHEARD and asked - age * unit > when[place]:
-                when[place] = asked - age * unit
-        self.kth = None
+            if age != UNHEARD and (at := asked - age * unit) > when[place]:
+                when[place] = at
+        self.kth_old = True
 
     @property
     def sure_until(self) -> float:
@@ -531,13 +532,16 @@
         need = ring.majority - (own is not None and self.remembers)
         if need <= 0:
             return self.desk.now + self.pact.lease_s
-        if self.kth is None:
+        if self.kth_old:
             others = (at for place, at in enumerate(self.heard_at) if place != own)
             best = nlargest(need, others)
-            self.kth = best[-1] if len(best) == need else -inf
+            self.kth, self.kth_old = best[-1] if len(best) == need else -inf, False
         return self.kth + self.pact.lease_s
 
     def sure(self) -> bool:
+        """Asked with every lookup: in most of a lease what was counted last is enough."""
+        if self.desk.now < self.kth + self.pact.lease_s / 2 and not self.accepted_higher:
+            return True
         return self.desk.now < self.sure_until
 
     # What comes in
--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -10,6 +10,7 @@
 
 from collections import Counter
 from random import Random
+from statistics import median
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -22,10 +23,11 @@
 from cartdeal.fleet.members import Members
 from cartdeal.fleet.records import Certainty, Mark
 from cartdeal.fleet.replica import Replica
-from cartdeal.fleet.verdict import Question, Verdict, in_doubt, judge, may_turn_back
+from cartdeal.fleet.verdict import Question, Verdict, earlier, in_doubt, judge, may_repeat, may_turn_back
 
 COME_AGAIN = 0.5    # seconds after which one turned back in doubt may come again, 1.5 times that at most
 RAN = {"never": Certainty.NEVER_RAN, "maybe": Certainty.SENT, "answered": Certainty.ANSWERED}
+MOST_CLOCKS = 64
 KNOWN_PEERS = 4     # addresses kept of strangers, as a multiple of the most agents there may be
 
 
@@ -52,6 +54,7 @@
         self.waiting: dict[int, Waiting] = {}
         self.open = 0                   # of these, how many still wait for the fleet's word
         self.addresses: dict[str, str] = {}
+        self.clocks: dict[str, float] = {}      # by peer, ahead of `now`, until there is a ring
         self.clock = HybridClock(pact.name, pact.clock_ahead_s)
         self.members = Members(self, pact)
         self.epochs = Epochs(self, pact)
@@ -112,23 +115,31 @@
 
     def timely(self, sender: str, wall_ms: int) -> bool:
         """Takes the fleet's time over from a peer that is ahead, but never more than is allowed."""
+        offset = wall_ms / 1e3 - self.now
+        if self.ring is None:
+            # Of no standing yet. A message that was long on its way says less than the next one.
+            if sender in self.clocks or len(self.clocks) < MOST_CLOCKS:
+                self.clocks[sender] = max(self.clocks.get(sender, offset), offset)
+            return True
         try:
             self.clock.hear(Stamp(wall_ms, 0, sender), self.wall)
         except errors.ClockAhead as trouble:
-            if self.ring is not None:
-                self.count("dropped clock ahead")
-                self.note("clock ahead", peer=sender, words=str(trouble))
-                return False
-            # Of no standing yet: the ones that are there already have the time.
-            self.note("own clock behind", by_s=round(wall_ms / 1e3 - self.wall, 3), peer=sender)
-        else:
-            if self.ring is None and self.wall - wall_ms / 1e3 > self.pact.clock_ahead_s:
-                self.note("own clock ahead", by_s=round(self.wall - wall_ms / 1e3, 3), peer=sender)
-                self.offset = wall_ms / 1e3 - self.now
-                self.clock = self.replica.clock = HybridClock(self.name, self.pact.clock_ahead_s)
-        self.offset = max(self.offset, wall_ms / 1e3 - self.now)
+            self.count("dropped clock ahead")
+            self.note("clock ahead", peer=sender, words=str(trouble))
+            return False
+        self.offset = max(self.offset, offset)
         return True
 
+    def set_clock(self):
+        """In the fleet now: an own clock that is far from the others' is wrong, whatever it says."""
+        others = [*self.clocks.values()]
+        others = median([self.offset, *others]) if len(others) > 1 else max(others, default=self.offset)
+        if abs(others - self.offset) > self.pact.clock_ahead_s:
+            self.note("own clock set", by_s=round(others - self.offset, 3), agents=len(self.clocks))
+            self.offset = others
+            self.clock = self.replica.clock = HybridClock(self.name, self.pact.clock_ahead_s)
+        self.clocks = {}
+
     def tick(self):
         self.members.tick()
         known = self.members.knew_life()
@@ -158,6 +169,8 @@
         """Tells the parts of a new ring."""
         ring = self.epochs.ring
         if ring is not None and ring != self.ring:
+            if self.ring is None:
+                self.set_clock()
             self.ring = ring
             self.note("ring", epoch=ring.epoch, seats=len(ring.seats), written=ring.written, phase=ring.phase)
             self.replica.rings(ring, self.epochs.former, self.epochs.since)
@@ -176,6 +189,13 @@
             self.note("hold refused", words=str(back))
         self.held_late = back is not None
 
+    @property
+    def young(self) -> bool:
+        """Whether marks of before the fleet was founded may still be due. It is founded anew where all of its
+        agents went at once, and nobody knows then what ran before."""
+        lasts = self.pact.longest_mark_s + 2 * self.pact.clock_ahead_s
+        return self.ring is None or self.wall < self.ring.founded_ms / 1e3 + lasts
+
     def sure(self) -> bool:
         """Whether this agent may answer as an owner."""
         return not self.fenced and self.epochs.sure()
@@ -268,6 +288,8 @@
         slack, marking = int(self.pact.clock_ahead_s * 1e3), self.pact.clients_mark
         if not sure or self.fenced:     # fenced, it can't read all that the owners told it
             return self.doubt(ticket, each)
+        if self.young and may_repeat(question, marking) and not earlier(question, marks, marking):
+            return self.doubt(ticket, each)
         if each.step == "denied":
             if may_turn_back(question, marks, wall_ms, slack, marking):
                 return self.settle(ticket, each, Verdict.LIMITED, each.limit_wait or self.come_again())
--- a/cartdeal/fleet/ring.py
+++ b/cartdeal/fleet/ring.py
@@ -32,12 +32,14 @@
 
 
 class Ring(Struct, frozen=True, array_like=True, dict=True):
-    """`seats` sorted by name; `written`: the schema version the fleet writes; `phase`: one of PHASES."""
+    """`seats` sorted by name; `written`: the schema version the fleet writes; `phase`: one of PHASES;
+    `founded_ms`: the wall time at which the first ring was proposed, the same in all that follow."""
 
     epoch: int
     seats: tuple[Seat, ...]
     written: int = 1
     phase: str = "steady"
+    founded_ms: int = 0
 
     @cached_property
     def names(self) -> tuple[str, ...]:
@@ -73,7 +75,8 @@
     """Whether a ring that came from outside can be used; `most`: seats at most."""
     names = [seat.name for seat in ring.seats]
     return (0 < ring.epoch < MOST_EPOCH and 0 < len(names) <= most and ring.phase in PHASES
-            and 0 <= ring.written < 1 << 20 and all(a < b for a, b in pairwise(names))
+            and 0 <= ring.written < 1 << 20 and 0 <= ring.founded_ms < 1 << 53
+            and all(a < b for a, b in pairwise(names))
             and all(0 < len(seat.name) <= LONGEST_NAME and len(seat.zone) <= LONGEST_NAME
                     and 0 < seat.capacity <= MOST_CAPACITY for seat in ring.seats))     # NaN is not over 0
 
@@ -177,7 +180,8 @@
     """
     stay = tuple(seat for seat in old.seats if seat.name in wanted)
     if not stay:
-        return Ring(old.epoch + 1, tuple(wanted[name] for name in sorted(wanted)), old.written, old.phase)
+        return Ring(old.epoch + 1, tuple(wanted[name] for name in sorted(wanted)), old.written, old.phase,
+                    old.founded_ms)
     left = old if len(stay) == len(old.seats) else Ring(old.epoch, stay)
     room = max(step_share, 0.01) - (1 - left.capacity / old.capacity)
 
@@ -190,7 +194,7 @@
             now = goal if part == 1 else had + part * (goal - had)
             if now > 0:
                 seats.append(Seat(name, seat.zone, now))
-        return Ring(old.epoch + 1, tuple(seats), old.written, old.phase)
+        return Ring(old.epoch + 1, tuple(seats), old.written, old.phase, old.founded_ms)
 
     new = toward(1)
     if moved(left, new) > room:
@@ -211,12 +215,14 @@
     seats: tuple[Seat, ...]     # those that are new or differ
     written: int
     phase: str
+    founded_ms: int = 0         # in the first one
 
 
 def step(old: Ring, new: Ring) -> Step:
     was = old.by_name
     return Step(new.epoch, old.digest, tuple(name for name in old.names if name not in new.by_name),
-                tuple(seat for seat in new.seats if was.get(seat.name) != seat), new.written, new.phase)
+                tuple(seat for seat in new.seats if was.get(seat.name) != seat), new.written, new.phase,
+                0 if old.epoch else new.founded_ms)
 
 
 def stepped(old: Ring, taken: Step) -> Ring:
@@ -226,7 +232,8 @@
     seats = old.by_name | {seat.name: seat for seat in taken.seats}
     for name in taken.gone:
         seats.pop(name, None)
-    return Ring(taken.epoch, tuple(seats[name] for name in sorted(seats)), taken.written, taken.phase)
+    return Ring(taken.epoch, tuple(seats[name] for name in sorted(seats)), taken.written, taken.phase,
+                old.founded_ms if old.epoch else taken.founded_ms)
 
 
 # Damping
--- a/cartdeal/fleet/verdict.py
+++ b/cartdeal/fleet/verdict.py
@@ -96,8 +96,13 @@
         for mark in earlier(question, marks, clients_mark))
 
 
+def may_repeat(question: Question, clients_mark: bool) -> bool:
+    """Whether it may be the repeat of one that nobody here knows of."""
+    everywhere = question.repeat == "d" and question.group == "all"     # any server would drop a repeat
+    return question.retried or not (clients_mark or everywhere)
+
+
 def in_doubt(question: Question, on_doubt: str, clients_mark: bool) -> Verdict:
     """Marks can't be known in time: what may be a repeat is never asked to come again, nor shot."""
-    everywhere = question.repeat == "d" and question.group == "all"     # any server would drop a repeat
-    repeat = question.retried or not (clients_mark or everywhere)
+    repeat = may_repeat(question, clients_mark)
     return Verdict.TERMINATE if repeat or on_doubt == "terminate" else Verdict.TURN_BACK
