--- a/cartdeal/cli.py
+++ b/cartdeal/cli.py
@@ -142,12 +142,13 @@
 @click.argument("table")
 @click.option("--workers", type=click.IntRange(1, 64), default=os.cpu_count, help="processes; one a core")
 def run(file, table, workers):
-    """Play the experiment in FILE and keep its TABLE (CSV)."""
+    """Play the experiment in FILE, of a world or of the fleet, and keep its TABLE (CSV); exit status 1 if a
+    rule was broken."""
     from cartdeal.lab import experiment
     interruptible()
     rows = experiment.run(file, table, workers)
     click.echo(f"{table}: {len(rows)} rows")
-    sys.exit(any(row["violations"] for row in rows if row["variant"] == rows[0]["variant"]))
+    sys.exit(experiment.broken(file, rows))
 
 
 @lab.command()
--- /dev/null
+++ b/cartdeal/lab/fleets.py
@@ -0,0 +1,320 @@
+"""Plays of the fleet: each gives one row of figures from its terms and a seed.
+
+All but "added" are played in memory and give the same row for the same seed in every process; "added" is
+played with real agents on loopback and measures the machine, too. A play must never hide what it broke: rows
+say how many violations the judge found.
+"""
+
+from collections import Counter
+from typing import Annotated, Literal, get_args, get_origin
+
+import msgspec
+from msgspec import Meta
+
+from cartdeal.emulator.clock import chance
+from cartdeal.emulator.world import Strict, Unusable
+
+Seconds = Annotated[float, Meta(gt=0, le=3600)]
+Rate = Annotated[float, Meta(gt=0, le=10_000)]
+ZONES = 3
+FOUNDERS = 5
+
+
+class Ring(Strict):
+    agents: Annotated[int, Meta(ge=4, le=10_000)] = 10
+    way: Literal["cartdeal", "circle", "undamped"] = "cartdeal"
+
+
+class Copies(Strict):
+    agents: Annotated[int, Meta(ge=3, le=1000)] = 5
+    rate: Rate = 1.0        # lookups an agent and second, each with a mark and of a tenant with a limit
+    rest_s: Seconds = 10.0
+    traffic_s: Seconds = 10.0
+    cut_s: Seconds = 20.0
+    most_s: Seconds = 60.0  # waited for one ring, and for equal copies
+
+
+class Days(Strict):
+    agents: Annotated[int, Meta(ge=3, le=50)] = 6
+    seconds: Seconds = 60.0
+    quiet: Seconds = 90.0
+    pause_s: Seconds = 4.0
+    lookups: Rate = 20.0
+    upgrade: bool = False
+    apart: Annotated[float, Meta(ge=0, le=0.01)] = 0.001
+
+
+class Upgrade(Strict):
+    agents: Annotated[int, Meta(ge=3, le=100)] = 20
+    every_s: Seconds = 4.0      # between two restarts at least; each waits until the last has caught up
+    cut: Literal["none", "halves", "zone"] = "none"
+    cut_s: Seconds = 20.0
+    lookups: Rate = 40.0                # a second, of all agents, without a limit
+    limit: Rate = 20.0                  # a second, of a tenant that asks for twice that
+    most_s: Seconds = 90.0
+
+
+class Added(Strict):
+    kind: Literal["read", "limited", "submit", "close"] = "read"
+    lookups: Annotated[int, Meta(ge=10, le=1_000_000)] = 2000   # with the fleet, and as many without
+
+
+def made(play: str, found: dict, at: str):
+    """The terms that `found` sets, the others as they are by themselves. Raises Unusable."""
+    kinds = {each.name: each.type for each in msgspec.structs.fields(PLAYS[play][0])}
+    given = {}
+    for key, value in found.items():
+        if key not in kinds:
+            raise Unusable(f"{at}.{key}: found {value!r}, wanted one of {', '.join(kinds)}")
+        try:
+            given[key] = msgspec.convert(value, kinds[key])
+        except msgspec.ValidationError as trouble:
+            wanted = str(trouble).removeprefix("Expected ")
+            if get_origin(kinds[key]) is Literal:
+                wanted = f"one of {', '.join(get_args(kinds[key]))}"
+            raise Unusable(f"{at}.{key}: found {value!r}, wanted {wanted}") from None
+    return PLAYS[play][0](**given)
+
+
+def one(name: str, terms, play: str, seed: int) -> dict:
+    return {"variant": name, "seed": seed} | PLAYS[play][1](terms, seed)
+
+
+# Ring
+
+
+def ring(terms: Ring, seed: int) -> dict:
+    """By event: keys moved over the least possible, and at its end the fullest one's load over its share."""
+    from cartdeal.lab.rings import EVENTS, measure
+    found = {event: measure(terms.way, seed, terms.agents, event) for event in EVENTS}
+    row = {"agents": terms.agents}
+    row |= {f"{event}: moved over least": float(each["moved_over_least"]) for event, each in found.items()}
+    for event in ("join", "leave", "capacity", "flapping"):
+        row[f"{event}: fullest over fair"] = float(found[event]["fullest_over_fair"])
+    row["fullest of 50,000 keys"] = float(found["join"]["fullest_of_keys"])
+    row["fullest by exact dice"] = float(found["join"]["fullest_by_chance"])
+    row["join: copies moved over least"] = found["join"]["copies_over_least"]
+    return row
+
+
+# Copies
+
+
+def memory(seed, agents: int, limits: dict, **terms):
+    """A fleet whose first agents found it; all start within a second."""
+    from cartdeal.fleet.desk import Pact
+    from cartdeal.fleet.memory import Memory
+
+    class Counted(Memory):
+        """Counts bytes by tag, too."""
+
+        bytes_by_tag = Counter()
+
+        def carry(self, place, node, to, address, words):
+            before = self.bytes[node.name]
+            super().carry(place, node, to, address, words)
+            self.bytes_by_tag[type(words).__struct_config__.tag] += self.bytes[node.name] - before
+
+    seeds = {f"a{n}": f"10.0.0.1:{n + 1}" for n in range(min(agents, FOUNDERS))}
+    fleet, fates = Counted(Pact(fleet="lab", name="", key=b"k" * 32, seeds=seeds, limits=limits), seed), \
+        chance(seed, "starts")
+    fleet.bytes_by_tag = Counter()
+    for number in range(agents):
+        place = fleet.add(f"a{number}", zone=f"z{number % ZONES}", start=False, **terms)
+        fleet.clock.at(fates.random(), place.start)
+    return fleet
+
+
+def whole_ring(fleet) -> bool:
+    """All that run go by one ring, of all that run."""
+    nodes = fleet.nodes()
+    marks = {node.ring and node.ring.digest for node in nodes.values()}
+    return len(marks) == 1 and None not in marks and set(next(iter(nodes.values())).ring.names) == set(nodes)
+
+
+def caught_up(fleet) -> bool:
+    return all(node.caught_up for node in fleet.nodes().values())
+
+
+def unequal(fleet) -> tuple[int, int]:
+    """Of how many records some owner lacks what another has; how many there are."""
+    from cartdeal.fleet import records
+    copies: dict[str, list] = {}
+    wanted = {}
+    for name, node in fleet.nodes().items():
+        replica = node.replica
+        for key in replica.store:
+            owners = replica.owners(key)
+            record = records.expired(replica.record(key), replica.wall_ms, replica.slack_ms)
+            if name in owners and not records.empty(record):
+                copies.setdefault(key, []).append(records.digest(record))
+                wanted[key] = len(owners)
+    wrong = sum(len(each) != wanted[key] or len(set(each)) > 1 for key, each in copies.items())
+    return wrong, len(copies)
+
+
+def talk(fleet, seconds: float) -> dict:
+    """Messages and bytes an agent and second meanwhile, and messages by part."""
+    before, size = Counter(fleet.count), Counter(fleet.bytes_by_tag)
+    fleet.run(seconds)
+    share = 1 / (seconds * len(fleet.places))
+    said, sizes = Counter(fleet.count), Counter(fleet.bytes_by_tag)
+    said.subtract(before)
+    sizes.subtract(size)
+    parts = Counter()
+    for tag, many in said.items():
+        if tag[1:2] == ".":
+            parts[PARTS[tag[0]]] += many * share
+    return {"messages": round(said["messages"] * share, 1), "bytes": round(sizes.total() * share),
+            **{f"messages of {part}": round(parts[part], 1) for part in PARTS.values()}}
+
+
+PARTS = {"m": "members", "e": "rings", "r": "copies", "l": "lending"}
+
+
+def copies(terms: Copies, seed: int) -> dict:
+    """Messages and bytes are an agent's in a second; times are from the start, and from when the cut ends."""
+    from cartdeal.fleet.desk import Limit
+    from cartdeal.fleet.verdict import Question
+    agents, coming = terms.agents, terms.rate * terms.agents
+    fleet = memory(seed, agents, {"shop": Limit(2 * coming, coming)})
+    people, names = chance(seed, "people"), list(fleet.places)
+    intents, going = [], [True]
+
+    def client():
+        if going[0]:
+            session = f"{people.randrange(10 * agents)}"
+            question = Question(tenant="shop", session=session, key=f"k{fleet.intents}", repeat="u",
+                                limit_s=2.0, workload="w")
+            intents.append(fleet.intend(question, [people.choice(names)]))
+            fleet.clock.after(people.expovariate(coming), client)
+
+    def share(since) -> float:
+        return round(sum("completed" in fleet.outcomes[each] for each in intents[since:])
+                     / max(1, len(intents) - since), 3)
+
+    started = fleet.until(lambda: whole_ring(fleet), terms.most_s, 0.25)
+    known = started + fleet.until(lambda: caught_up(fleet), terms.most_s, 0.25)
+    fleet.run(5.0)
+    rest = talk(fleet, terms.rest_s)
+    client()
+    fleet.run(5.0)
+    since = len(intents)
+    busy = talk(fleet, terms.traffic_s)
+    served, since = share(since), len(intents)
+    fleet.cut(names[::2], names[1::2])
+    fleet.run(terms.cut_s)
+    cut_served, going[0] = share(since), False
+    fleet.heal()
+    wrong, records = unequal(fleet)
+    healed = fleet.clock.now
+    equal = fleet.until(lambda: unequal(fleet)[0] == 0 and whole_ring(fleet), terms.most_s, 0.25)
+    found = fleet.judge.close()
+    return {
+        "agents": agents, "one ring s": round(started, 2), "caught up s": round(known, 2),
+        **{f"rest: {key}": value for key, value in rest.items()},
+        **{f"traffic: {key}": value for key, value in busy.items()},
+        "traffic: completed": served, "cut: completed": cut_served, "unequal records when it ends": wrong,
+        "records": records, "equal s": round(equal, 2), "simulated s": round(healed + equal, 1),
+        "violations": len(found)}
+
+
+# Days
+
+
+def days(terms: Days, seed: int) -> dict:
+    from cartdeal.fleet.days import day
+    row = day(seed, terms.agents, terms.seconds, quiet=terms.quiet, pause_s=terms.pause_s,
+              lookups=terms.lookups, upgrade=terms.upgrade, apart=terms.apart)
+    return {key: value for key, value in row.items() if key not in ("seed", "found", "notes")}
+
+
+# A rolling upgrade
+
+
+def upgrade(terms: Upgrade, seed: int) -> dict:
+    """Agents are told to end and come back with a program that reads (1, 2) in place of (1, 1), one after the
+    other. Served: of lookups without a limit, two thirds of them with a mark; clients try three agents.
+    Budget: what the limited tenant got of its rate. Times are from the first restart."""
+    from cartdeal.fleet.desk import Limit
+    from cartdeal.fleet.verdict import Question
+    fleet = memory(seed, terms.agents, {"shop": Limit(terms.limit, terms.limit)}, reads=(1, 1))
+    people, names, judge = chance(seed, "people"), list(fleet.places), fleet.judge
+    open_, lost = [], {}
+
+    def free():
+        repeat = people.choice(("i", "d", "u"))
+        question = Question(tenant="", session=f"{people.randrange(200)}", key=f"k{fleet.intents}",
+                            repeat=repeat, window_s=4.0 * (repeat == "d"), limit_s=2.0, workload="w")
+        open_.append((fleet.clock.now, fleet.intend(question, people.sample(names, 3), tries=3)))
+        fleet.clock.after(people.expovariate(terms.lookups), free)
+
+    def limited():
+        fleet.intend(Question(tenant="shop", workload="w"), people.sample(names, 2))
+        fleet.clock.after(people.expovariate(2 * terms.limit), limited)
+
+    def look():
+        wall, have = max(node.wall for node in fleet.nodes().values()) * 1e3, fleet.copies()
+        for (record, by), each in judge.marks.items():
+            if each.until_ms > wall and not any(by in copies.get(record, ()) for copies in have.values()):
+                lost[by] = True
+        fleet.clock.after(5.0, look)
+
+    def served(since, until) -> float:
+        these = [intent for at, intent in open_ if since <= at < until]
+        return round(sum("completed" in fleet.outcomes[each] for each in these) / max(1, len(these)), 4)
+
+    def budget(since, until) -> float:
+        passed = sum(since <= at < until for at in judge.served["shop"])
+        return round(passed / (terms.limit * (until - since)), 3)
+
+    def written() -> bool:
+        return whole_ring(fleet) and all((node.ring.written, node.ring.phase) == (2, "steady")
+                                         and node.replica.moved == 2 for node in fleet.nodes().values())
+
+    fleet.until(lambda: whole_ring(fleet) and caught_up(fleet), terms.most_s, 0.25)
+    free(), limited(), look()
+    fleet.run(5.0)
+    calm = fleet.clock.now
+    fleet.run(20.0)
+    begun, waited = fleet.clock.now, 0
+    for turn, name in enumerate(names):
+        if turn == len(names) // 2 and terms.cut != "none":
+            parts = [names[::2], names[1::2]] if terms.cut == "halves" else [
+                [each for each in names if (int(each[1:]) % ZONES == 0) is side] for side in (True, False)]
+            fleet.cut(*parts)
+            fleet.clock.after(terms.cut_s, fleet.heal)
+        at, place = fleet.clock.now, fleet.places[name]
+        fleet.leave(name)
+        fleet.run(1.6)
+        fleet.start(name, reads=(1, 2))
+        fleet.until(lambda place=place: place.node.caught_up, terms.most_s)
+        waited = max(waited, fleet.clock.now - at)
+        fleet.run(max(0.0, at + terms.every_s - fleet.clock.now))
+    rolled = fleet.clock.now
+    new = fleet.until(written, terms.most_s)
+    end = fleet.clock.now
+    fleet.run(20.0)
+    found = judge.close()
+    return {
+        "agents": terms.agents, "served before": served(calm, begun), "served": served(begun, rolled),
+        "served after": served(end, end + 18.0), "budget before": budget(calm, begun),
+        "budget": budget(begun, end), "budget after": budget(end, end + 20.0),
+        "over limit": round(max(0.0, judge.over("shop")), 3), "marks": len(judge.marks),
+        "marks lost": len(lost), "longest restart s": round(waited, 1),
+        "last restarted s": round(rolled - begun, 1), "written everywhere s": round(rolled - begun + new, 1),
+        "violations": len(found)}
+
+
+# What it adds to a lookup
+
+
+def added(terms: Added, seed: int) -> dict:
+    """Three real agents with the fleet and three without, asked in turns by one client at a time."""
+    from cartdeal.lab.added import Pairs
+    with Pairs(seed) as pairs:
+        return pairs.measure(terms.kind, terms.lookups)
+
+
+PLAYS = {"ring": (Ring, ring), "copies": (Copies, copies), "days": (Days, days),
+         "upgrade": (Upgrade, upgrade), "added": (Added, added)}
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,7 +11,7 @@
 from cartdeal.emulator import world as worlds
 from cartdeal.emulator.play import Fleet
 from cartdeal.emulator.world import Unusable
-from cartdeal.lab import experiment
+from cartdeal.lab import experiment, fleets
 from cartdeal.lab.baselines import POLICIES
 from cartdeal.lab.compare import compared, interval
 from tests.test_emulator import HARD
@@ -80,6 +80,36 @@
     assert not (tmp_path / "t.csv").exists()
 
 
+TINY = {"ring": {"agents": 4},
+        "copies": {"agents": 3, "rest_s": 1.0, "traffic_s": 1.0, "cut_s": 1.0},
+        "days": {"seconds": 2.0, "agents": 3, "lookups": 5.0},
+        "upgrade": {"agents": 3, "every_s": 2.0, "cut": "zone", "cut_s": 1.0, "lookups": 5.0},
+        "added": {"kind": "close", "lookups": 10}}
+
+
+@pytest.mark.parametrize("play", fleets.PLAYS)
+def test_each_play_of_the_fleet_gives_a_row(play):
+    row = fleets.one("tiny", fleets.made(play, TINY[play], "set"), play, 3)
+    assert (row["variant"], row["seed"]) == ("tiny", 3) and not row.get("violations")
+    assert row.get("completed", 1.0) == 1.0 and row.get("marks lost", 0) == 0
+
+
+@pytest.mark.parametrize("play, words, wrong", [
+    ("copies", "agents = 2", "variant[0].set.agents: found 2, wanted `int` >= 3"),
+    ("ring", "way = 'best'", "variant[0].set.way: found 'best', wanted one of cartdeal, circle, undamped"),
+    ("days", "seconds = '9'", "variant[0].set.seconds: found '9', wanted `float`"),
+    ("upgrade", "cuts = 1", "variant[0].set.cuts: found 1, wanted one of agents, every_s"),
+    ("luck", "", "play: found 'luck', wanted one of ring, copies, days, upgrade, added"),
+    ("ring'\nworld = 'w.toml", "", "world: found 'w.toml', wanted one of world (a file) and play"),
+    ("ring", "}\npolicy = 'random'\n#", "variant[0].policy: found 'random', wanted none")])
+def test_play_that_cannot_be_used_is_named(tmp_path, play, words, wrong):
+    file = tmp_path / "f.toml"
+    file.write_text(f"play = '{play}'\nseeds = [1, 2]\n[[variant]]\nname = 'a'\nset = {{{words}}}\n")
+    with pytest.raises(Unusable) as caught:
+        experiment.read(file)
+    assert f"{file}: {wrong}" in str(caught.value)
+
+
 def test_a_file_that_is_no_table_is_refused(plan):
     with pytest.raises(Unusable, match="plan.toml"):
         experiment.kept(plan)
