--- a/cartdeal/fleet/records.py
+++ b/cartdeal/fleet/records.py
@@ -21,7 +21,7 @@
 
 MOST_PLACES = 32            # of one mark; with more, ELSEWHERE says that the rest is forgotten
 ELSEWHERE = ("*", -1)       # it may have been at any place
-KEPT_PERIODS = 120          # of a tenant's use; older ones than the newest by so many are dropped
+KEPT_PERIODS = 16           # of a tenant's use; older are dropped: at 250 agents a record is full
 MOST_COUNTS = 4096          # of a tenant's use; the newest are kept
 MOST_PARTS = 1024           # of a tenant's limit; those that last longest are kept
 MOST_UNKNOWN = 32 * 1024    # bytes of unknown fields in a record; more makes it full
@@ -179,13 +179,19 @@
     return not (record.counts or record.parts or record.extra)
 
 
-def too_far(record: Record, wall_ms: int, longest_ms: int, slack_ms: int) -> ClockAhead | None:
-    """Says whose mark lasts longer than any may: its clock is ahead, and the record isn't to be taken in."""
+def too_far(record: Record, wall_ms: int, longest_ms: int, slack_ms: int, period_s=1.0) -> ClockAhead | None:
+    """Says whose mark lasts longer than any may, or whose use is of a time to come: its clock is ahead, and
+    the record isn't to be taken in. One far period would push out all that was counted by then."""
     if isinstance(record, Session):
         for by, mark in sorted(record.marks.items()):
             if mark.until_ms > wall_ms + longest_ms + slack_ms:
                 lasts = (mark.until_ms - wall_ms) / 1000
                 return ClockAhead(f"a mark of {by}", f"lasts {lasts:.3f} s from now")
+    else:
+        newest = int((wall_ms + slack_ms) / 1e3 // period_s) + 1
+        for agent, life, period in sorted(record.counts):
+            if period > newest:
+                return ClockAhead(f"a use of {agent}/{life}", f"period {period}, {newest} at most")
     return None
 
 
--- a/cartdeal/fleet/replica.py
+++ b/cartdeal/fleet/replica.py
@@ -390,7 +390,8 @@
             record = schema.decode(key[0], raw, self.pact.reads[1])
         except BadRecord:
             return self.desk.count("dropped bad record")
-        trouble = records.too_far(record, self.wall_ms, int(self.pact.longest_mark_s * 1e3), self.slack_ms)
+        trouble = records.too_far(record, self.wall_ms, int(self.pact.longest_mark_s * 1e3), self.slack_ms,
+                                  self.pact.period_s)
         if trouble:
             self.desk.note("clock ahead", words=str(trouble))
             return self.desk.count("dropped clock ahead")
