Go by the time of those that are in the fleet, and look again whether one's clock is odd

Now only peers that go by a ring are heeded, of two times the later one and never one between them, and a clock that most of the ring's seats find odd is set again.

--- a/cartdeal/fleet/days.py
+++ b/cartdeal/fleet/days.py
@@ -9,7 +9,9 @@
 from cartdeal.fleet.memory import Memory, Weather
 from cartdeal.fleet.verdict import Question
 
-LIMITS = {"shop": Limit(8.0, 6.0), "deli": Limit(1.5, 2.0)}     # asked for more often than that
+LIMITS = {"shop": Limit(12.0, 6.0), "deli": Limit(1.5, 2.0)}
+SHOP = Question(tenant="shop", workload="w")
+PRESSED = 1.6       # times its limit, as often do clients of the shop ask
 SESSIONS = 40       # that clients share, so that their marks stand side by side
 FAULTS = {          # kind -> how often, beside the others
     "kill": 5, "flap": 1, "mass": 1, "stop": 3, "leave": 2, "join": 2, "cut": 3, "deafen": 3, "weather": 3,
@@ -25,6 +27,7 @@
         self.fleet = fleet = Memory(pact, seed)
         self.fates, self.people = chance(seed, "day/faults"), chance(seed, "day/clients")
         self.seconds, self.pause_s, self.lookups, self.upgrade = seconds, pause_s, lookups, upgrade
+        self.pressed = PRESSED * LIMITS["shop"].rate
         self.cuts: list[set] = []
         self.patient: list[str] = []
         self.joined, self.at, self.log = 0, 0.0, []
@@ -150,36 +153,42 @@
     def client(self):
         people, fleet = self.people, self.fleet
         number = fleet.intents
-        tenant = people.choices(["", "shop", "deli"], [4, 5, 1])[0]
-        repeat = people.choices(["i", "d", "u"], [6, 3, 3])[0]
+        tenant = people.choices(["", "shop", "deli"], [8, 1, 1])[0]
+        repeat = people.choice(["i", "d", "u"])
         question = Question(
             tenant=tenant, session=f"{people.randrange(SESSIONS):02}", key=f"k{number}", repeat=repeat,
             group=people.choice(["all", "zone", "cell"]) if repeat == "d" else "all",
             window_s=people.uniform(0.5, 8.0) if repeat == "d" else 0.0, limit_s=4.0, workload="w")
         agents, takes = list(fleet.places), people.choice([0.02, 0.05, 0.5, 1.5])
-        if people.random() < 0.1:       # a client that doesn't wait for its answer, and comes again
-            patience = takes / 2
+        if people.random() < 0.2:       # a client that doesn't wait for its answer, and comes again
+            takes = people.choice([0.02, 1.0, 8.0])
+            patience = takes * people.uniform(0.3, 0.7)
         else:
             patience = takes + people.choice([0.3, 1.0])
             self.patient.append(f"i{number + 1}")
         fleet.intend(question, people.sample(agents, len(agents)), people.randrange(1, 5), takes, patience)
         fleet.clock.after(people.expovariate(self.lookups), self.client)
 
+    def shopper(self):
+        self.fleet.intend(SHOP, [self.people.choice(list(self.fleet.places))])
+        self.fleet.clock.after(self.people.expovariate(self.pressed), self.shopper)
+
     # The day
 
     def play(self, quiet: float) -> dict:
         fleet, clock = self.fleet, self.fleet.clock
         founded = fleet.until(fleet.one_ring, 30.0)
-        fleet.run(12.0)
+        fleet.run(fleet.pact.longest_mark_s + 3.0)     # until nothing of before its founding may be due
         self.at = clock.now
         clock.after(0.0, self.client)
+        clock.after(0.0, self.shopper)
         if self.upgrade:
             for name in list(fleet.places):
                 self.after(self.fates.uniform(0.1, 0.7) * self.seconds, self.upgraded, name, (1, 2))
             self.after(0.8 * self.seconds, self.upgraded, self.some(), (1, 1))
         self.fault()
         fleet.run(self.seconds)
-        clients, self.lookups = self.lookups, 1e-9
+        clients, self.lookups, self.pressed = self.lookups, 1e-9, 1e-9
         for name, place in fleet.places.items():
             if place.stopped:
                 place.go_on()
@@ -194,10 +203,10 @@
         return self.judged(founded, clients, quiet)
 
     def settled(self) -> bool:
-        """One ring, of all that run, in the newest version that all read."""
-        ring = next(iter(self.fleet.nodes().values())).ring
+        """One ring, of all that run, in the newest version that all read and the operator allows."""
+        ring, version = next(iter(self.fleet.nodes().values())).ring, self.fleet.pact.hold_version or 2
         return (self.fleet.one_ring() and set(ring.names) == set(self.fleet.nodes())
-                and (ring.written, ring.phase) == (2, "steady"))
+                and (ring.written, ring.phase) == (version, "steady"))
 
     def judged(self, founded, clients, quiet) -> dict:
         fleet, judge = self.fleet, self.fleet.judge
@@ -207,21 +216,27 @@
         one_ring = fleet.until(self.settled, quiet) + 4.0
         equal = fleet.until(fleet.equal_copies, quiet, 0.5) + fleet.clock.now - healed
         # The fleet is as before: all that come are served.
-        self.lookups = clients
+        self.lookups, self.pressed = clients, PRESSED * LIMITS["shop"].rate
         self.client()
+        self.shopper()
+        since = fleet.clock.now
         fleet.run(20.0)
-        self.lookups = 1e-9
+        self.lookups = self.pressed = 1e-9
         fleet.run(5.0)
+        shop = sum(since <= at < since + 20.0 for at in judge.served["shop"])
         if one_ring == float("inf"):
             judge.violated(f"no one ring {quiet} s after all was healed")
         if equal == float("inf"):
             judge.violated(f"no equal copies {quiet} s after the ring was one")
-        found = list(judge.close())
+        found, waits = list(judge.close()), sorted(fleet.waits)
         alive, messages = len(fleet.places) * fleet.clock.now, fleet.count["messages"]
         return {
             "seed": fleet.seed, "agents": len(fleet.places), "violations": len(found), "found": found,
             "lookups": fleet.intents, "served": self.served(self.patient[:asked]),
             "served_after": self.served(self.patient[asked:]),
+            "shop_after": round(shop / 20.0 / LIMITS["shop"].rate, 4),
+            "waited_p50": round(waits[len(waits) // 2], 4),
+            "waited_p99": round(waits[len(waits) * 99 // 100], 4),
             "founded_s": round(founded, 2), "one_ring_s": round(one_ring, 2), "equal_s": round(equal, 2),
             "messages": round(messages / alive, 2), "bytes": round(sum(fleet.bytes.values()) / alive, 1),
             "marks": len(judge.marks), "marks_lost": lost,
@@ -237,6 +252,7 @@
         lookups: float = 20.0, upgrade: bool = False, apart: float = 0.001, **terms) -> dict:
     """Figures of one day. `pause_s`: between faults, on average; `lookups`: a second; `upgrade`: the program
     is brought up agent by agent, and one rolled back; `apart`: share by which monotonic clocks differ;
-    `terms`: further keys of the operator file. "found" lists what the judge found; "messages" and "bytes" are
-    by agent and second; "one_ring_s" and "equal_s" count from when all was healed."""
+    `terms`: further keys of the operator file. "found" lists what the judge found; "one_ring_s" and "equal_s"
+    count from when all was healed, "served_after" and "shop_after" (of a limit that is asked for PRESSED
+    times) are of 20 s after that; "waited" is seconds; "messages" and "bytes" are by agent and second."""
     return Day(seed, agents, seconds, pause_s, lookups, upgrade, apart, terms).play(quiet)
--- a/cartdeal/fleet/judge.py
+++ b/cartdeal/fleet/judge.py
@@ -102,6 +102,11 @@
                     self.violated(f"{intent}: turned back at {agent}, {at - past.at:.3f} s after it ran")
         self.told[intent].append((at, agent, verdict))
 
+    def waited(self, agent: str, seconds: float):
+        """For the fleet's word. A tick more than is allowed, as that's when an agent looks at its clock."""
+        if seconds > self.pact.wait_s + 1.2 * self.pact.tick_s:
+            self.violated(f"{agent}: a lookup waited for {seconds:.3f} s")
+
     def went_on(self, tenant: str, at: float):
         if tenant in self.limits:
             self.served[tenant].append(at)
--- a/cartdeal/fleet/memory.py
+++ b/cartdeal/fleet/memory.py
@@ -53,6 +53,7 @@
         self.rate, self.skew = 1.0, 0.0     # of its monotonic clock; of its wall clock
         self.born = 0.0
         self.tickets: dict[int, tuple] = {}
+        self.asked: dict[int, float] = {}   # tickets that wait for the fleet's word, since when
         self.issued = 0
 
     @property
@@ -78,13 +79,13 @@
         if self.node is None:
             return
         self.fleet.judge.died(self.pact.name, self.fleet.clock.now)
-        self.node, self.stopped, self.held = None, False, []
+        self.node, self.stopped, self.held, self.asked = None, False, [], {}
         for client, tries in list(self.tickets.values()):
             self.fleet.broke_off(client, tries, self.pact.name)
         self.tickets = {}
 
     def stop(self):
-        self.stopped = True
+        self.stopped, self.asked = True, {}
 
     def go_on(self):
         self.stopped, held, self.held = False, self.held, []
@@ -257,10 +258,11 @@
         question = client.question
         if turn:
             question = msgspec.structs.replace(question, retried=True)
-        asked_at, node = self.clock.now, place.node
+        node = place.node
         self.clock.after(client.patience_s, self.run_out, place, node, ticket)
+        if not place.stopped:
+            place.asked[ticket] = self.clock.now
         place.play(node.ask, ticket, question)
-        self.asked_at = asked_at
 
     def run_out(self, place, node, ticket):
         """The client waits no longer; it comes again elsewhere."""
@@ -278,6 +280,9 @@
             self.clock.after(pause, self.come, client, turn + 1)
 
     def decided(self, place, ticket, verdict, wait, heed):
+        if ticket in place.asked:
+            self.waits.append(self.clock.now - place.asked.pop(ticket))
+            self.judge.waited(place.pact.name, self.waits[-1])
         found = place.tickets.get(ticket)
         if found is None:
             # Its client went away; what the fleet's word is meets nobody.
--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -10,7 +10,7 @@
 
 from collections import Counter
 from random import Random
-from statistics import median
+from statistics import median_high
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -28,6 +28,7 @@
 COME_AGAIN = 0.5    # seconds after which one turned back in doubt may come again, 1.5 times that at most
 RAN = {"never": Certainty.NEVER_RAN, "maybe": Certainty.SENT, "answered": Certainty.ANSWERED}
 MOST_CLOCKS = 64
+LOOK = 10.0         # seconds between two looks at whether the own clock is the odd one
 KNOWN_PEERS = 4     # addresses kept of strangers, as a multiple of the most agents there may be
 
 
@@ -54,7 +55,10 @@
         self.waiting: dict[int, Waiting] = {}
         self.open = 0                   # of these, how many still wait for the fleet's word
         self.addresses: dict[str, str] = {}
-        self.clocks: dict[str, float] = {}      # by peer, ahead of `now`, until there is a ring
+        # By peer: whether it goes by a ring; how far its clock was ahead of `now`, at most, since the last
+        # look.
+        self.clocks: dict[str, tuple[bool, float]] = {}
+        self.look_at, self.ticked = now, now
         self.clock = HybridClock(pact.name, pact.clock_ahead_s)
         self.members = Members(self, pact)
         self.epochs = Epochs(self, pact)
@@ -106,21 +110,23 @@
         peer = self.members.table.get(sender)
         if peer and life < peer.life:
             return self.count("dropped old life")
-        if not self.timely(sender, wall_ms) and part is self.replica:
+        in_ring = part is self.epochs and getattr(words, "has", 1) > 0
+        if not self.timely(sender, wall_ms, in_ring) and part is self.replica:
             return      # what it stamps can't be believed; that it is there, and what ring it has, can
         if sender in self.addresses or len(self.addresses) < KNOWN_PEERS * self.pact.most_agents:
             self.addresses[sender] = address
         part.heard(sender, words)
         self.follow()
 
-    def timely(self, sender: str, wall_ms: int) -> bool:
+    def timely(self, sender: str, wall_ms: int, in_ring: bool) -> bool:
         """Takes the fleet's time over from a peer that is ahead, but never more than is allowed."""
         offset = wall_ms / 1e3 - self.now
+        if sender in self.clocks or len(self.clocks) < MOST_CLOCKS:
+            # A message that was long on its way says less than the next one.
+            had = self.clocks.get(sender, (False, offset))
+            self.clocks[sender] = had[0] or in_ring, max(had[1], offset)
         if self.ring is None:
-            # Of no standing yet. A message that was long on its way says less than the next one.
-            if sender in self.clocks or len(self.clocks) < MOST_CLOCKS:
-                self.clocks[sender] = max(self.clocks.get(sender, offset), offset)
-            return True
+            return True     # of no standing yet
         try:
             self.clock.hear(Stamp(wall_ms, 0, sender), self.wall)
         except errors.ClockAhead as trouble:
@@ -131,16 +137,38 @@
         return True
 
     def set_clock(self):
-        """In the fleet now: an own clock that is far from the others' is wrong, whatever it says."""
-        others = [*self.clocks.values()]
-        others = median([self.offset, *others]) if len(others) > 1 else max(others, default=self.offset)
-        if abs(others - self.offset) > self.pact.clock_ahead_s:
-            self.note("own clock set", by_s=round(others - self.offset, 3), agents=len(self.clocks))
-            self.offset = others
+        """In the fleet now: an own clock that is far from the others' is wrong, whatever it says. Those that
+        are about to join as well know no better, unless nobody is there yet."""
+        there = [offset for in_ring, offset in self.clocks.values() if in_ring]
+        self.go_by(there or [self.offset, *(offset for _, offset in self.clocks.values())])
+        self.look_at, self.clocks = self.now + LOOK, {}
+
+    def look_at_clock(self):
+        """The majority of the ring's seats is never all wrong: without this, one that was told the wrong time
+        as it came would be refused by all the others for good."""
+        seats = self.ring.by_name
+        offsets = [offset for name, (_, offset) in self.clocks.items() if name in seats]
+        far = self.pact.clock_ahead_s
+        odd = max(sum(each - self.offset > far for each in offsets),
+                  sum(self.offset - each > far for each in offsets))
+        if 2 * odd > len(seats):
+            self.go_by(offsets)
+        self.look_at, self.clocks = self.now + LOOK, {}
+
+    def go_by(self, offsets):
+        """The middle one, and of two the one ahead: a time between them would be nobody's."""
+        offset = median_high(offsets)
+        if abs(offset - self.offset) > self.pact.clock_ahead_s:
+            self.note("own clock set", by_s=round(offset - self.offset, 3), agents=len(self.clocks))
+            self.offset = offset
             self.clock = self.replica.clock = HybridClock(self.name, self.pact.clock_ahead_s)
-        self.clocks = {}
 
     def tick(self):
+        if self.now - self.ticked > LOOK / 4:       # stopped: what came in meanwhile is old
+            self.look_at, self.clocks = self.now + LOOK, {}
+        self.ticked = self.now
+        if self.ring is not None and self.now >= self.look_at:
+            self.look_at_clock()
         self.members.tick()
         known = self.members.knew_life()
         if known >= self.life and known >> 16 < int(self.wall * 1e3) + 86_400_000:
@@ -267,6 +295,8 @@
             ok = True
         if ok and not question.marked:
             return self.settle(ticket, each, Verdict.PASS)
+        if question.marked and self.now >= each.until:
+            return self.doubt(ticket, each)     # no time is left to ask for its marks
         each.limit_wait = wait_s
         if ok:
             each.step = "claim"
--- a/tests/stories/limits.feature
+++ b/tests/stories/limits.feature
@@ -84,3 +84,12 @@
     And shop asks 120 times a second at all agents for 30 seconds
     Then the fleet writes version 2 within 1 second
     And shop got at least 80% of its limit
+
+  Scenario: An agent that can ask nobody answers in time all the same
+    Given a fleet of 3 agents in 3 zones
+    And shop may have 60 lookups a second and 30 at once
+    And the fleet has settled
+    When a0 is cut off
+    And 3 seconds pass
+    And 20 clients of shop submit their sheets at a0 over 20 seconds
+    Then none of the 20 sheets ran
--- a/tests/stories/sessions.feature
+++ b/tests/stories/sessions.feature
@@ -186,3 +186,17 @@
     And 20 clients submit their sheets at all agents
     Then most of the 20 sheets ran
     And an operator was told of: own clock set
+
+  Scenario: Agents whose clocks are off come back together, and go by the time of those that are there
+    Given a fleet of 7 agents in 3 zones
+    And the clock of a0 is 10 seconds ahead
+    And the clock of a1 is 10 seconds ahead
+    And the clock of a2 is 10 seconds ahead
+    And the clock of a3 is 10 seconds ahead
+    And 10 seconds marks last
+    And the fleet has settled
+    When a4, a5 and a6 start from nothing
+    And 20 seconds pass
+    And 20 clients submit their sheets at all agents
+    Then all of the 20 sheets ran
+    And all copies are equal within 5 seconds
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -262,11 +262,13 @@
     story.memory.run(0.2)
 
 
-@steps(when, rf"(?P<count>\d+) clients submit their sheets at {WHO}(?: over {SECONDS})?")
-def _(story, count, who, seconds):
+@steps(when, rf"(?P<count>\d+) clients(?: of (?P<tenant>\w+))? submit their sheets at {WHO}"
+             rf"(?: over {SECONDS})?")
+def _(story, count, tenant, who, seconds):
     agents = story.named(who)
     for number in range(int(count)):
-        story.come([agents[(number + turn) % len(agents)] for turn in range(len(agents))])
+        turns = [agents[(number + turn) % len(agents)] for turn in range(len(agents))]
+        story.come(turns, tenant=tenant or "")
         story.memory.run(float(seconds or 1) / int(count))
     story.memory.run(0.3)
 
