Heed of a peer's clock only what it told since it went by a ring

An agent that founds a fleet sets its clock as it does so; what it told before made the others take over the time that it had just given up, for ten seconds.

--- a/cartdeal/fleet/days.py
+++ b/cartdeal/fleet/days.py
@@ -155,18 +155,23 @@
         number = fleet.intents
         tenant = people.choices(["", "shop", "deli"], [8, 1, 1])[0]
         repeat = people.choice(["i", "d", "u"])
-        question = Question(
-            tenant=tenant, session=f"{people.randrange(SESSIONS):02}", key=f"k{number}", repeat=repeat,
-            group=people.choice(["all", "zone", "cell"]) if repeat == "d" else "all",
-            window_s=people.uniform(0.5, 8.0) if repeat == "d" else 0.0, limit_s=4.0, workload="w")
-        agents, takes = list(fleet.places), people.choice([0.02, 0.05, 0.5, 1.5])
+        group = people.choice(["all", "zone", "cell"]) if repeat == "d" else "all"
+        window = people.uniform(0.5, 8.0) if repeat == "d" else 0.0
+        takes = people.choice([0.02, 0.05, 0.5, 1.5])
         if people.random() < 0.2:       # a client that doesn't wait for its answer, and comes again
             takes = people.choice([0.02, 1.0, 8.0])
             patience = takes * people.uniform(0.3, 0.7)
         else:
             patience = takes + people.choice([0.3, 1.0])
             self.patient.append(f"i{number + 1}")
-        fleet.intend(question, people.sample(agents, len(agents)), people.randrange(1, 5), takes, patience)
+        # It comes no more when its time limit is over; no mark lasts for longer.
+        limit = fleet.pact.longest_mark_s - window
+        tries = min(people.randrange(1, 5), int(limit / (patience + 0.8)))
+        question = Question(
+            tenant=tenant, session=f"{people.randrange(SESSIONS):02}", key=f"k{number}", repeat=repeat,
+            group=group, window_s=window, limit_s=limit, workload="w")
+        agents = list(fleet.places)
+        fleet.intend(question, people.sample(agents, len(agents)), tries, takes, patience)
         fleet.clock.after(people.expovariate(self.lookups), self.client)
 
     def shopper(self):
--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -122,9 +122,11 @@
         """Takes the fleet's time over from a peer that is ahead, but never more than is allowed."""
         offset = wall_ms / 1e3 - self.now
         if sender in self.clocks or len(self.clocks) < MOST_CLOCKS:
-            # A message that was long on its way says less than the next one.
+            # A message that was long on its way says less than the next one; what a peer told before it went
+            # by a ring says nothing.
             had = self.clocks.get(sender, (False, offset))
-            self.clocks[sender] = had[0] or in_ring, max(had[1], offset)
+            new = in_ring and not had[0]
+            self.clocks[sender] = had[0] or in_ring, offset if new else max(had[1], offset)
         if self.ring is None:
             return True     # of no standing yet
         try:
