Judge a lost mark by how many agents were down at once since it was written

As the contract says it: fewer than there are copies, and no mark is lost. One that comes back counts as down until it has had time for its copies; where an owner was out of reach, as many count as the mark was written to.

--- a/cartdeal/fleet/days.py
+++ b/cartdeal/fleet/days.py
@@ -217,7 +217,7 @@
         fleet, judge = self.fleet, self.fleet.judge
         healed, asked = fleet.clock.now, len(self.patient)
         fleet.run(4.0)
-        lost = judge.lost(fleet.copies(), max(node.wall for node in fleet.nodes().values()) * 1e3)
+        lost = fleet.lost()
         one_ring = fleet.until(self.settled, quiet) + 4.0
         equal = fleet.until(fleet.equal_copies, quiet, 0.5) + fleet.clock.now - healed
         # The fleet is as before: all that come are served.
--- a/cartdeal/fleet/judge.py
+++ b/cartdeal/fleet/judge.py
@@ -16,6 +16,7 @@
 
 HAIR = 1e-6
 SAMPLE = 300        # keys that are looked at when a ring changes
+SETTLE = 6.0        # seconds in which one that comes back gets its copies again
 ALLOWANCE = 0.06    # of the keys, for looking at so few
 STEPS = {           # (raised, phase) -> what may follow within the version; "narrow" has no way back
     "steady": ("steady", "widen"), "widen": ("widen", "move", "steady"),
@@ -69,6 +70,7 @@
         self.writers: dict[str, dict[str, None]] = defaultdict(dict)
         self.marks: dict[tuple[str, str], Written] = {}
         self.until: dict[str, int] = {}
+        self.unreached = -1.0       # when a message last met a cut, or an agent that was stopped
 
     def violated(self, words: str):
         self.violations.append(words)
@@ -120,6 +122,9 @@
     def died(self, agent: str, at: float):
         self.deaths.append((at, agent))
 
+    def out_of_reach(self, at: float):
+        self.unreached = at
+
     def said(self, at: float, sender: str, life: int, to: str, words):
         start = len(self.starts[sender])
         if self.lives.setdefault((sender, life), start) != start:
@@ -244,19 +249,31 @@
         if by:
             self.marks[record, by] = Written(at, agent, self.until[by])
 
-    def lost(self, copies: dict[str, dict], wall_ms: float) -> int:
-        """Marks that are not over and that no copy has. `copies`: agent -> record -> its marks. Where fewer
-        than W agents have died since, a loss has no excuse."""
+    def lost(self, copies: dict[str, dict], now: float, wall_ms: float) -> int:
+        """Marks that are not over and that no copy has. `copies`: agent -> record -> its marks. There is no
+        excuse for one unless as many agents as there are copies have been down at once since; as many as it
+        was written to, where an owner may have been out of reach."""
         lost = 0
         for (record, by), each in self.marks.items():
             if each.until_ms <= wall_ms or any(by in have.get(record, ()) for have in copies.values()):
                 continue
             lost += 1
-            dead = {name for at, name in self.deaths if at >= each.at - HAIR}
-            if len(dead) < min(self.pact.write_by, len(self.pact.seeds)):
-                self.violated(f"{by}: lost, though only {len(dead)} agents died since")
+            down = self.down_at_once(each.at, now)
+            most = self.pact.copies if self.unreached < each.at else self.pact.write_by
+            if down < min(most, len(self.pact.seeds)):
+                self.violated(f"{by}: lost, though no more than {down} agents were down at once")
         return lost
 
+    def down_at_once(self, since: float, until: float) -> int:
+        """One that comes back has nothing yet, and counts as down for SETTLE seconds more."""
+        down = []
+        for at, agent in self.deaths:
+            back = next((start for start in self.starts[agent] if start >= at), until) + SETTLE
+            if back >= since:
+                down.append((max(at, since), back, agent))
+        return max((len({name for begin, end, name in down if begin <= at <= end}) for at, _, _ in down),
+                   default=0)
+
     # At the end
 
     def versions(self) -> list[tuple[float, int]]:
--- a/cartdeal/fleet/memory.py
+++ b/cartdeal/fleet/memory.py
@@ -215,6 +215,8 @@
         self.bytes[node.name] += len(raw)
         self.judge.said(self.clock.now, node.name, node.life, to, words)
         target = self.places.get(to)
+        if (node.name, to) in self.cuts or target and target.stopped:
+            self.judge.out_of_reach(self.clock.now)
         if target is None or target.pact.address != address or (node.name, to) in self.cuts:
             return
         for _ in range(1 + (fates.random() < weather.double)):
@@ -370,6 +372,11 @@
         return {name: {key: self.marks_at(node, key) for key in sorted(node.replica.store) if key[:2] == "s/"}
                 for name, node in self.nodes().items()}
 
+    def lost(self) -> int:
+        """Marks that no agent has any more, and that are not over by any clock; the judge looks why."""
+        wall = max((node.wall for node in self.nodes().values()), default=0.0)
+        return self.judge.lost(self.copies(), self.clock.now, wall * 1e3)
+
     def equal_copies(self) -> bool:
         """Whether each two agents have the same bytes of what both own."""
         nodes = self.nodes()
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -41,10 +41,6 @@
         memory.run(1 / rate)
 
 
-def wall_ms(memory):
-    return (1_700_000_000.0 + memory.clock.now) * 1e3
-
-
 # Days
 
 def restarts(memory):
@@ -129,7 +125,7 @@
         memory.run(0.1)
     memory.weather = Weather()
     memory.run(6.0)
-    memory.judge.lost(memory.copies(), wall_ms(memory))
+    memory.lost()
 
 
 def newer_field(memory):
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -364,7 +364,7 @@
 @steps(then, r"no mark of the (?P<count>\d+) sheets is lost")
 def _(story, count):
     memory = story.memory
-    assert memory.judge.lost(memory.copies(), (1_700_000_000.0 + memory.clock.now) * 1e3) == 0
+    assert memory.lost() == 0
     assert len(memory.judge.marks) >= int(count)
 
 
