End the lab's agents with its process, and measure the fleet once it answers with marks

A pool's process that is told to end goes on to its next work after any exception, so agents were left running: they are ended in the signal's handler now, with a test. Figures at rest were taken while a fresh fleet still owed its marks' time.

--- a/cartdeal/lab/added.py
+++ b/cartdeal/lab/added.py
@@ -98,11 +98,14 @@
             self.connection.close()
         return answer.status, took
 
-    def stop(self):
+    def kill(self):
         try:
             os.killpg(self.process.pid, signal.SIGKILL)
         except ProcessLookupError:
             pass
+
+    def stop(self):
+        self.kill()
         self.process.wait()
 
 
@@ -111,12 +114,11 @@
 
     def __init__(self, seed: int):
         self.seed, self.agents, self.asked, self.stands = seed, [], 0, []
-        # One that is told to end ends its agents first.
-        signal.signal(signal.SIGTERM, signal.default_int_handler)
-
-    def __enter__(self):
         self.hold = tempfile.TemporaryDirectory()
         self.folder = self.hold.name
+
+    def __enter__(self):
+        self.before = signal.signal(signal.SIGTERM, self.end)
         try:
             self.stands = [Server() for _ in range(6)]
             self.known = {"rev": 1, "all": True, "targets": [
@@ -143,6 +145,14 @@
         for each in [*self.agents, *self.stands]:
             each.stop() if isinstance(each, Agent) else each.close()
         self.hold.cleanup()
+        signal.signal(signal.SIGTERM, self.before)
+
+    def end(self, *_):
+        """Of a process of a pool, which would go on to its next work after any exception."""
+        for each in self.agents:
+            each.kill()
+        self.hold.cleanup()
+        os._exit(1)
 
     def head(self, kind: str) -> bytes:
         self.asked += 1
--- a/cartdeal/lab/fleets.py
+++ b/cartdeal/lab/fleets.py
@@ -31,7 +31,7 @@
     rest_s: Seconds = 10.0
     traffic_s: Seconds = 10.0
     cut_s: Seconds = 20.0
-    most_s: Seconds = 60.0  # waited for one ring, and for equal copies
+    most_s: Seconds = 90.0  # waited for one ring, for answers with marks, and for equal copies
 
 
 class Days(Strict):
@@ -132,8 +132,14 @@
     return len(marks) == 1 and None not in marks and set(next(iter(nodes.values())).ring.names) == set(nodes)
 
 
-def caught_up(fleet) -> bool:
-    return all(node.caught_up for node in fleet.nodes().values())
+def answers(fleet, names) -> bool:
+    """Whether each of these completes lookups with marks. One that founds a fleet knows nothing of what was
+    before it for as long as a mark may last."""
+    from cartdeal.fleet.verdict import Question
+    asked = [fleet.intend(Question(tenant="", session=f"probe {fleet.intents}", key="k", repeat="u",
+                                   limit_s=2.0, workload="w"), [name]) for name in names]
+    fleet.run(0.5)
+    return all("completed" in fleet.outcomes[each] for each in asked)
 
 
 def unequal(fleet) -> tuple[int, int]:
@@ -154,19 +160,19 @@
 
 
 def talk(fleet, seconds: float) -> dict:
-    """Messages and bytes an agent and second meanwhile, and messages by part."""
+    """Messages and bytes an agent and second meanwhile, and both by part."""
     before, size = Counter(fleet.count), Counter(fleet.bytes_by_tag)
     fleet.run(seconds)
     share = 1 / (seconds * len(fleet.places))
     said, sizes = Counter(fleet.count), Counter(fleet.bytes_by_tag)
     said.subtract(before)
     sizes.subtract(size)
-    parts = Counter()
-    for tag, many in said.items():
-        if tag[1:2] == ".":
-            parts[PARTS[tag[0]]] += many * share
-    return {"messages": round(said["messages"] * share, 1), "bytes": round(sizes.total() * share),
-            **{f"messages of {part}": round(parts[part], 1) for part in PARTS.values()}}
+    row = {"messages": round(said["messages"] * share, 1), "bytes": round(sizes.total() * share)}
+    for letter, part in PARTS.items():
+        tags = [tag for tag in sizes if tag[0] == letter]
+        row[f"messages of {part}"] = round(sum(said[tag] for tag in tags) * share, 1)
+        row[f"bytes of {part}"] = round(sum(sizes[tag] for tag in tags) * share)
+    return row
 
 
 PARTS = {"m": "members", "e": "rings", "r": "copies", "l": "lending"}
@@ -194,7 +200,7 @@
                      / max(1, len(intents) - since), 3)
 
     started = fleet.until(lambda: whole_ring(fleet), terms.most_s, 0.25)
-    known = started + fleet.until(lambda: caught_up(fleet), terms.most_s, 0.25)
+    known = started + fleet.until(lambda: answers(fleet, names[:FOUNDERS]), terms.most_s, 0.5)
     fleet.run(5.0)
     rest = talk(fleet, terms.rest_s)
     client()
@@ -211,7 +217,7 @@
     equal = fleet.until(lambda: unequal(fleet)[0] == 0 and whole_ring(fleet), terms.most_s, 0.25)
     found = fleet.judge.close()
     return {
-        "agents": agents, "one ring s": round(started, 2), "caught up s": round(known, 2),
+        "agents": agents, "one ring s": round(started, 2), "marks answered s": round(known, 2),
         **{f"rest: {key}": value for key, value in rest.items()},
         **{f"traffic: {key}": value for key, value in busy.items()},
         "traffic: completed": served, "cut: completed": cut_served, "unequal records when it ends": wrong,
@@ -272,7 +278,8 @@
         return whole_ring(fleet) and all((node.ring.written, node.ring.phase) == (2, "steady")
                                          and node.replica.moved == 2 for node in fleet.nodes().values())
 
-    fleet.until(lambda: whole_ring(fleet) and caught_up(fleet), terms.most_s, 0.25)
+    fleet.until(lambda: whole_ring(fleet) and answers(fleet, names), terms.most_s, 0.5)
+    fleet.run(5.0)
     free(), limited(), look()
     fleet.run(5.0)
     calm = fleet.clock.now
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -135,6 +135,25 @@
             time.sleep(0.01)
 
 
+def test_an_interrupted_run_leaves_no_agent(tmp_path):
+    (tmp_path / "f.toml").write_text("play = 'added'\nseeds = [1, 2]\n[[variant]]\nname = 'a'\n")
+    process = command("lab", "run", tmp_path / "f.toml", tmp_path / "t.csv", "--workers", 1,
+                      start_new_session=True)
+
+    def beneath(pid) -> list[str]:
+        found = open(f"/proc/{pid}/task/{pid}/children").read().split()
+        return found + [each for child in found for each in beneath(child)]
+    while len(agents := beneath(process.pid)) < 6:      # two of the pool, and four agents
+        time.sleep(0.01)
+    os.kill(process.pid, signal.SIGTERM)
+    process.communicate(timeout=30)
+    until = time.monotonic() + 20.0
+    while any(os.path.exists(f"/proc/{each}") and "Z" not in open(f"/proc/{each}/stat").read().split()[2]
+              for each in agents):
+        assert time.monotonic() < until, "agents are left"
+        time.sleep(0.01)
+
+
 def test_check_names_the_key(tmp_path):
     file = tmp_path / "c.json"
     file.write_text('{"settings": 5}')
