--- a/cartdeal/fleet/buckets.py
+++ b/cartdeal/fleet/buckets.py
@@ -136,9 +136,9 @@
 ASK_ANY, ASK_WHOLE, ASK_PIECE = 0, 1, 2     # what a holder can use: anything, whole amounts, no standing loan
 
 RESERVE = 1 / 16    # of the rate, never lent: it fills the bucket, for newcomers
-ROOM = 0.92         # of its demand is lent to a holder as a rate; the rest it draws as it comes
+ROOM = 0.75         # of its demand is lent to a holder as a rate; the rest it draws as it comes
 CROWD = 16          # with more holders, who wants what is counted once in an eighth of a lease
-PIECEMEAL = 6.0     # with fewer tokens for each holder, of burst or in a lease, they are lent singly
+PIECEMEAL = 5.0     # with fewer tokens for each holder, of burst or in a lease, they are lent singly
 
 
 class Bucket:
--- a/cartdeal/fleet/lending.py
+++ b/cartdeal/fleet/lending.py
@@ -12,6 +12,9 @@
 Where operator files differ in a limit, the greater rate and the greater burst hold. All files must name the
 same lease_s, period_s, copies and clock_drift.
 
+Liveness, when nothing fails: at steady uneven demand over a tenant's limit it is served at least nine tenths
+of its rate, if its burst is at least a tenth of a second of that and a token for each owner.
+
 A fresh fleet, an agent that restarted as an owner and an owner that is new in a ring lend nothing for a fence
 of a little over two leases (4.3 s at a lease of 2 s), and begin with an empty bucket. Meanwhile lookups are
 answered with sure=False, where no other owner has tokens: what on_doubt says holds.
--- a/tests/test_fleet_lending.py
+++ b/tests/test_fleet_lending.py
@@ -184,7 +184,7 @@
 
 
 def rough(seed, kind=Lending, until=30.0, steps=False, **about):
-    """A day of everything at once: loss, doubles, lateness, cuts, stops, restarts, rings in quick succession."""
+    """Everything at once: loss, doubles, lateness, cuts, stops, restarts, rings in quick succession."""
     chance = Random(f"rough {seed}")
     limit = chance.choice((Limit(20.0, 60.0), Limit(5.0, 40.0), Limit(50.0, 20.0), Limit(2.0, 3.0)))
     names = "abcdef"[:chance.randint(2, 6)]
@@ -283,13 +283,14 @@
 
 
 @pytest.mark.parametrize("fault, seeds", [
-    (no_lease, (20, 57)), (no_fence, (8, 59)), (no_book, (8, 57)), (never_unsure, (250,)), (twice, (118, 33))])
+    (no_lease, (20, 57)), (no_fence, (8, 59)), (no_book, (8, 57)), (never_unsure, (250,)),
+    (twice, (118, 33))])
 def test_a_planted_fault_is_found(fault, seeds):
     assert any(rough(seed, planted(fault)).over() > 0 for seed in seeds)
 
 
 def cut_off_while_another_owned(kind):
-    """a owned by epoch 1 and owns by 3, and never heard of 2, in which d had its part and doesn't know yet."""
+    """a owned by epoch 1 and owns by 3, and never heard of 2, in which d had its part and still has."""
     net = Net("abcd", kind=kind, limit=Limit(2.0, 60.0))
     net.rings = [Ring(1, net.rings[0].seats[:3], 2)]
     net.at(10, partial(net.cut.add, ("a", "majority")))
@@ -325,7 +326,7 @@
     for when in (2.0, 4.0, 20.0):
         net.at(when, partial(net.lookup, "f"))
     net.run(21)
-    assert [(ok, sure) for _, _, ok, _, sure, _ in net.answers] == [(False, False), (False, False), (True, True)]
+    assert [each[2:5:2] for each in net.answers] == [(False, False), (False, False), (True, True)]
     assert net.answers[-1][-1] <= 0.004
     net.run(27)
     sent = net.sent.copy()
