--- a/cartdeal/fleet/days.py
+++ b/cartdeal/fleet/days.py
@@ -9,9 +9,9 @@
 from cartdeal.fleet.memory import Memory, Weather
 from cartdeal.fleet.verdict import Question
 
-LIMITS = {"shop": Limit(12.0, 6.0), "deli": Limit(1.5, 2.0)}
+LIMITS = {"shop": Limit(60.0, 60.0), "deli": Limit(1.5, 2.0)}      # one lent by rates, one by single tokens
 SHOP = Question(tenant="shop", workload="w")
-PRESSED = 1.6       # times its limit, as often do clients of the shop ask
+PRESSED = 1.4       # times its limit, as often do clients of the shop ask
 SESSIONS = 40       # that clients share, so that their marks stand side by side
 FAULTS = {          # kind -> how often, beside the others
     "kill": 5, "flap": 1, "mass": 1, "stop": 3, "leave": 2, "join": 2, "cut": 3, "deafen": 3, "weather": 3,
