--- a/cartdeal/fleet/members.py
+++ b/cartdeal/fleet/members.py
@@ -8,8 +8,8 @@
 
 Where it differs from both: that an agent is gone is never taken from hearsay. A tale of it counts as what its
 witnesses accuse, and each agent waits out its own time, so that the accused can refute it first. Those that
-are gone to this agent are no witnesses, and whoever hears an accusation that is new to it tells the accused
-at once: after a cut, neither half buries the other's agents anew.
+are gone to this agent, or came back a moment ago, are no witnesses, and whoever hears an accusation that is
+new to it tells the accused at once: after a cut, neither half buries the other's agents anew.
 
 One-way cuts. A peer that others reach stays: helpers' acks count as its own. Where B hears nobody, the others
 call B gone and believe nothing that B says any more; B sees that it is cut off from all, and calls all of
@@ -43,6 +43,7 @@
 SLOWEST = 3.0           # how many times suspect_s a suspicion with one witness lasts
 WORST = 4               # local health: a probe takes up to 1 + WORST times as long
 KEPT = 60.0             # seconds the gone are kept after the last sign of them: old gossip raises none
+FRESH = 15.0            # seconds for which one that came back from the gone is no witness
 REACH = 2.0             # seconds between two attempts to reach one that is gone, or an absent seed
 COMPARE = 5.0           # seconds between two comparisons of the whole table with a peer
 BUCKETS, BYTES = 16, 4  # parts of the table that are compared, bytes of digest for each
@@ -215,6 +216,7 @@
         self.table: dict[str, Peer] = {self.name: mine}
         self.cases: dict[str, Case] = {}        # of SUSPECT and GONE ones, by name
         self.kept: dict[str, float] = {}        # GONE and LEFT ones: when they are forgotten
+        self.back: dict[str, float] = {}        # when one came back from the gone
         self.warned: dict[str, float] = {}      # when an accused was last told of it
         self.news: dict[str, tuple[int, int]] = {}      # name: (times sent, minus its place in time)
         self.warnings: dict[str, Told] = {}
@@ -357,7 +359,7 @@
                 helpers = [each for each in self._others(State.ALIVE) if each != peer.name]
                 probe.helpers = tuple(self._some(helpers, HELPERS))
                 self._say(peer.name, Ping, probe.number)    # a second chance: one datagram may be lost
-                for name in probe.helpers:
+                for name in probe.helpers:      # what it is accused of, too: they may not have counted that yet
                     self._say(name, Ask, probe.number, peer.name, about=peer.name)
             if now >= probe.began + probe.patience:
                 probe.done = True
@@ -575,6 +577,8 @@
     def _enter(self, peer: Peer):
         """Take what a peer says of itself in place of what was known; a suspicion begins with _accuse."""
         name, known = peer.name, self.table.get(peer.name)
+        if known and known.state == State.GONE and known.life == peer.life:
+            self.back[name] = self.desk.now
         for each in (self.cases, self.warnings, self.warned, self.kept, self.strangers):
             each.pop(name, None)
         if peer.state == State.LEFT:
@@ -603,7 +607,8 @@
 
     def _counts(self, witness: str, accused: str) -> bool:
         peer = self.table.get(witness)
-        return peer is not None and peer.state <= State.SUSPECT and witness not in (accused, self.name)
+        return (peer is not None and peer.state <= State.SUSPECT and witness not in (accused, self.name)
+                and self.desk.now - self.back.get(witness, -inf) >= FRESH)
 
     def _warn(self, told: Told):
         name, now = told.peer.name, self.desk.now
@@ -620,7 +625,8 @@
         self.version += shown(old) != shown(peer)
 
     def _forget(self, name: str):
-        for each in (self.table, self.cases, self.kept, self.warned, self.warnings, self.news, self.owed):
+        for each in (self.table, self.cases, self.kept, self.back, self.warned, self.warnings, self.news,
+                     self.owed):
             each.pop(name, None)
 
     def _room(self) -> bool:
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -158,6 +158,18 @@
     assert not net.gone
 
 
+def test_one_that_dies_just_after_a_cut_is_found_though_no_witness_counts_yet():
+    net = Net(9)
+    agents = net.fleet(3)
+    net.cut = lambda a, b: (a == "n002") != (b == "n002")
+    net.run(20)
+    net.cut = deaf()
+    net.run(3)
+    net.agents.pop("n001")
+    net.run(25)
+    assert [agents[0].size(), agents[2].size()] == [2, 2]
+
+
 @pytest.mark.parametrize("count, cut, apart", [
     (5, lambda a, b: a + b == "n003n004", 0), (3, lambda a, b: a + b == "n000n001", 0), (2, deaf("n001"), 1),
     (20, deaf("n019"), 1), (5, lambda a, b: a == "n004", 1), (5, lambda a, b: a == "n001", 1)])
@@ -194,6 +206,10 @@
         net.arrive(*each)
     net.run(3)
     assert {agent.size() for agent in agents} == {10} and not net.gone and not agents[4].cases
+    word = Told(replace(agents[2].me, state=State.SUSPECT), ("n004",))      # of one that came back just now
+    told(agents[0], "n004", word)
+    assert agents[0].table["n002"].state == (State.ALIVE if seconds == 30 else State.SUSPECT)
+    net.run(2)
     while agents[4].probe.done:
         net.run(0.01)
     told(agents[4], "n001", Told(replace(agents[2].me, state=State.SUSPECT), ("n001", "n003")))
