--- a/cartdeal/fleet/members.py
+++ b/cartdeal/fleet/members.py
@@ -359,7 +359,7 @@
                 helpers = [each for each in self._others(State.ALIVE) if each != peer.name]
                 probe.helpers = tuple(self._some(helpers, HELPERS))
                 self._say(peer.name, Ping, probe.number)    # a second chance: one datagram may be lost
-                for name in probe.helpers:      # what it is accused of, too: they may not have counted that yet
+                for name in probe.helpers:      # with what it is accused of: it may not have counted
                     self._say(name, Ask, probe.number, peer.name, about=peer.name)
             if now >= probe.began + probe.patience:
                 probe.done = True
