Let membership answer one that came back with a lower life, whatever it says

An agent that left, was no seed and came back by a clock set back stayed out for good: each word of its lower life was dropped before membership could tell it of the higher one.

--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -108,8 +108,8 @@
         if part is None or sender == self.name:
             return self.count("dropped own name")
         peer = self.members.table.get(sender)
-        if peer and life < peer.life:
-            return self.count("dropped old life")
+        if peer and life < peer.life and part is not self.members:
+            return self.count("dropped old life")   # members answer with the life that is known
         in_ring = part is self.epochs and getattr(words, "has", 1) > 0
         if not self.timely(sender, wall_ms, in_ring) and part is self.replica:
             return      # what it stamps can't be believed; that it is there, and what ring it has, can
--- a/tests/stories/ring.feature
+++ b/tests/stories/ring.feature
@@ -102,3 +102,15 @@
     And the fleet has settled
     When a0, a1, a2 and a3 start from nothing
     Then all agents have one ring of 4 within 20 seconds
+
+  Scenario: An agent that is no seed leaves, and comes back by a clock that has been set back meanwhile
+    Given a fleet of 4 agents in 2 zones
+    And the fleet has settled
+    When a7 joins
+    And 15 seconds pass
+    And a7 leaves
+    And 3 seconds pass
+    And the clock of a7 is set 80 seconds back
+    And a7 is started
+    And 20 seconds pass
+    Then all agents have one ring of 5 within 1 second
