--- a/cartdeal/fleet/node.py
+++ b/cartdeal/fleet/node.py
@@ -175,7 +175,8 @@
         known = self.members.knew_life()
         if known >= self.life and known >> 16 < int(self.wall * 1e3) + 86_400_000:
             # Its own name is remembered from a later start, by a clock that was ahead then.
-            self.life = known + 1
+            # The next number would be that of any start that learnt of the same life and died unheard of.
+            self.life = (known >> 16) + 1 + self.random.getrandbits(8) << 16 | self.random.getrandbits(16)
             self.note("own life raised", life=self.life)
         self.epochs.tick(self.members.live(), lambda ring, live: schema.agree(ring, live, self.pact))
         self.follow()
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -5,6 +5,7 @@
 from cartdeal.fleet.desk import Limit, Pact
 from cartdeal.fleet.lending import Lending
 from cartdeal.fleet.memory import Memory
+from cartdeal.fleet.node import Node
 from cartdeal.fleet.verdict import Question
 
 SEEDS = {f"a{n}": f"10.0.0.1:{n + 1}" for n in range(3)}
@@ -83,3 +84,14 @@
     memory.run(1.0)
     assert memory.nodes()["a0"].figures()["own asks put off"]
     assert memory.judge.close() == []
+
+
+def test_starts_that_learn_of_the_same_later_life_never_take_the_same_one():
+    lives = set()
+    for seed in range(20):
+        node = Node(Pact(fleet="f", name="a0", key=b"k" * 32, seeds=SEEDS), seed, 0.0, 1000.0)
+        node.members.knew_life = lambda: 5_000_000 << 16
+        node.tick()
+        assert node.life > 5_000_000 << 16
+        lives.add(node.life)
+    assert len(lives) == 20
