--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,102 @@
+"""No decision turns over with a wall clock that is stepped: the agent's own, or that which stamps starts.
+
+Played in the reducer alone, on a clock of the test's own.
+"""
+
+import logging
+
+import pytest
+
+from cartdeal.agent.configuration import ServerEntry, ServerList
+from cartdeal.agent.reducer import AttemptResult, FailureReason, Progress, Reducer, Request
+from cartdeal.agent.start import LINES, RateLimitFilter
+from tests.scene import agent_config
+
+WALL = 1_800_000_000.0  # the true time, in Unix seconds, at ...
+BEGIN = 100.0  # ... this moment of the agent's monotonic clock
+HOUR = 3600.0
+PER_SECOND = 20.0
+COLD_FOR = 10.0  # as in the settings of tests/scene.py
+ANSWERED = AttemptResult(FailureReason.ANSWERED, Progress.WHOLE, 0.01, 200)
+
+
+def entry(number, started, state="active"):
+    """`started`: the server's age at BEGIN as its stamp has it, in seconds; None for long ago."""
+    stamp = 0 if started is None else (WALL - started) * 1e3
+    return ServerEntry(f"s{number}", f"10.0.0.1:{number}", "a", state=state, started=stamp)
+
+
+class Agent:
+    """A reducer that is asked at an even rate, and counts what it sends by server."""
+
+    def __init__(self, folder, clock_off, entries=()):
+        self.reducer = Reducer(agent_config(folder), BEGIN, WALL + clock_off)
+        self.list(*entries, whole=True)
+
+    def list(self, *entries, whole=False):
+        self.reducer.listed(ServerList(self.reducer.version + 1, whole, entries))
+
+    def ask(self, seconds):
+        """Asks for so long; gives how many attempts were sent, by address."""
+        sent = {}
+        for _ in range(int(seconds * PER_SECOND)):
+            self.reducer.now += 1 / PER_SECOND
+            number = self.reducer.count + 1
+            name = b"%d" % number
+            key = 7919 * number
+            self.reducer.taken(
+                "client", Request(0, False, 0, key, 2.0, False, b"GET", b"/", name, b"", b"", b"")
+            )
+            self.reducer.woken(0)
+            for verb, *args in self.reducer.effects:
+                if verb == "send_attempt":
+                    request, attempt, server, address = args[:4]
+                    sent[address] = sent.get(address, 0) + 1
+                    self.reducer.attempt_ended(request, server, attempt, ANSWERED)
+            self.reducer.effects.clear()
+        return sent
+
+
+@pytest.mark.parametrize("clock_off", [-HOUR, -5.0])
+def test_agent_whose_clock_is_behind_at_its_start_serves_as_one_whose_clock_is_right(tmp_path, clock_off):
+    """Servers that started a second ago ramp up; they do not wait for the agent's clock."""
+    entries = [entry(number, 1.0) for number in range(4)]
+    right = sum(Agent(tmp_path, 0.0, entries).ask(20.0).values())
+    behind = sum(Agent(tmp_path, clock_off, entries).ask(20.0).values())
+    assert behind > 0.9 * right > 200
+
+
+@pytest.mark.parametrize(
+    "clock_off, stamp_off",
+    [(HOUR, 0.0), (-HOUR, 0.0), (0.0, HOUR), (0.0, -HOUR)],
+)
+@pytest.mark.parametrize("known", [True, False])
+def test_start_told_while_the_agent_runs_was_not_before_the_list_that_said_otherwise(
+    tmp_path, clock_off, stamp_off, known
+):
+    """Whatever the clocks say, a server that restarts, or is new, is as cold as by right clocks."""
+
+    def sent_to_the_cold_one(clock_off, stamp_off):
+        warm = [entry(number, None) for number in range(1, 5)]
+        agent = Agent(tmp_path, clock_off, [*warm, entry(5, HOUR)] if known else warm)
+        agent.ask(30.0)
+        agent.reducer.watch_stands()
+        agent.ask(1.0)
+        agent.list(entry(5, -30.5 - stamp_off))  # half a second before it is told
+        return agent.ask(8.0).get("10.0.0.1:5", 0)
+
+    right, stepped = sent_to_the_cold_one(0.0, 0.0), sent_to_the_cold_one(clock_off, stamp_off)
+    assert right > 8 and 0.8 * right <= stepped <= 1.1 * right
+
+
+def test_log_lines_are_let_through_again_though_the_wall_clock_is_stepped_back(monkeypatch):
+    now = [50.0]
+    monkeypatch.setattr("cartdeal.agent.start.monotonic", lambda: now[0])
+    limit = RateLimitFilter()
+
+    def let_through(created):
+        return limit.filter(logging.makeLogRecord({"name": "x", "msg": "refused", "created": created}))
+
+    assert sum(let_through(WALL) for _ in range(2 * LINES)) == LINES
+    now[0] += 1.5
+    assert sum(let_through(WALL - HOUR) for _ in range(2 * LINES)) == LINES
