Take no server for warm, or for not started yet, by a wall clock that was stepped

Cause: Reducer.boot, taken once and believed whatever was known; an age could be negative, and the ramp then is. A stamp lower than the one before was no start. RateLimitFilter counted its seconds by the time of records. Ruled out: correcting the offset by other servers' stamps, which one machine with a wrong clock could turn over. Change: agent/start_times.py maps stamps: a start is no later than the list that tells of it, and one that no list told of before is no earlier than what discovery last said (with 2 s for lists that are late); a stamp that disagrees counts as a start now. Every empty line of a watch says so. Balancer.is_cold, in one place, holds for a machine booted lately, too. First lists read by an agent whose clock is ahead remain (docs/design.md).

--- a/cartdeal/agent/discovery.py
+++ b/cartdeal/agent/discovery.py
@@ -160,6 +160,8 @@
             self.dispatch("listed", found, is_current)
         elif is_current and not has_stood:
             self.dispatch("watch_stands")
+        else:
+            self.dispatch("watch_beat")
 
     def let_previous_go(self):
         self.first_at_address = False
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from cartdeal.agent.configuration import AgentConfiguration, ServerList
+from cartdeal.agent.start_times import StartTimes
 from cartdeal.balancer import Balancer
 from cartdeal.terms import Group, Listing, Load, Outcome, Repeat, RequestClass, State
 
@@ -147,7 +148,7 @@
         keeps idempotency records; None: there is none.
         """
         self.config, self.now, self.longest_requests = config, now, longest_requests
-        self.boot = wall - now  # the one mapping between the list's clock and the agent's own
+        self.start_times = StartTimes(now, wall)
         self.effects = []
         self.count = 0
         self.end_at = inf  # when the agent is to have answered all
@@ -171,7 +172,7 @@
         if not settings.must_ask:
             # The balancer asks for no list that comes unasked; here it comes by a watch that the host begins.
             self.watch()
-        self.listed(config.known, fresh=False)
+        self.apply_list(config.known, fresh=False)
 
     @property
     def pending_count(self) -> int:
@@ -284,6 +285,11 @@
             self.balancer.client_disconnected(number)
 
     def listed(self, server_list: ServerList, fresh: bool = True):
+        """A list came from discovery; `fresh`: on the watch that stands."""
+        self.apply_list(server_list, fresh)
+        self.start_times.heard(self.now)
+
+    def apply_list(self, server_list: ServerList, fresh: bool):
         self.version = server_list.version
         self.note(
             f"list {server_list.version}: {len(server_list.entries)} lines{' in all' * server_list.whole}"
@@ -302,8 +308,13 @@
 
     def watch_stands(self):
         """A watch was answered, with nothing new."""
+        self.start_times.heard(self.now)
         self.balancer.listed([], True)
 
+    def watch_beat(self):
+        """A watch that stands says that there is still nothing new."""
+        self.start_times.heard(self.now)
+
     def watch_failed(self, silent: bool = False):
         """The watch ended or, `silent`, sent nothing for too long; or the call for one got no list."""
         self.balancer.watch_failed(silent)
@@ -318,6 +329,7 @@
     def remove_server(self, name: bytes) -> Listing:
         index = self.indices.pop(name)
         del self.servers[index]
+        self.start_times.remove(name)
         self.close_idle(index)
         return Listing(index, name, 0, 0, 0, State.GONE, 1.0, 0.0)
 
@@ -334,7 +346,7 @@
             self.indices[name] = self.servers_named
             self.servers_named += 1
         index = self.indices[name]
-        started = line.started / 1e3 - self.boot if line.started else 0.0
+        started = self.start_times.started_at(name, line.started, self.now)
         known = KnownServer(line.address, started)
         if self.servers.setdefault(index, known) != known:
             self.close_idle(index)  # a kept connection to what stood there before would cost an attempt
--- a/cartdeal/agent/start.py
+++ b/cartdeal/agent/start.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from math import inf
 from time import monotonic
 
 import gevent
@@ -38,7 +39,8 @@
 class RateLimitFilter(logging.Filter):
     """What a peer does at full speed must not be logged at full speed. How many were left out is told later.
 
-    Kinds are the messages in the code, so there are few of them.
+    Kinds are the messages in the code, so there are few of them. Seconds are counted on the monotonic clock:
+    the wall clock, by which records are stamped, may be stepped back.
     """
 
     def __init__(self):
@@ -46,9 +48,10 @@
         self.kinds: dict[tuple, list] = {}  # since when, how many lines, how many left out
 
     def filter(self, record) -> bool:
-        kind = self.kinds.setdefault((record.name, record.msg), [0.0, 0, 0])
-        if record.created >= kind[0] + 1.0:
-            kind[:2] = record.created, 0
+        kind = self.kinds.setdefault((record.name, record.msg), [-inf, 0, 0])
+        now = monotonic()
+        if now >= kind[0] + 1.0:
+            kind[:2] = now, 0
         kind[1] += 1
         if kind[1] > LINES:
             kind[2] += 1
--- /dev/null
+++ b/cartdeal/agent/start_times.py
@@ -0,0 +1,77 @@
+"""Maps when servers started, by the wall clock that stamps the server list, to the agent's monotonic clock.
+
+A wall clock may be wrong by an hour, on either side, and is never believed against what the agent has seen:
+
+- no server started after the list that tells of it was read, so no age is negative;
+- a start that no earlier list told of happened since the agent last heard from discovery.
+
+A stamp that disagrees with either counts as a start in this moment: the server is then taken for colder than
+it is, which costs some of its traffic for the time of its ramp, where the opposite could push it over. The
+offset between the clocks is taken once, at the agent's start. It isn't corrected by other servers' stamps, as
+these may come of a machine whose clock is wrong. What remains is a first list read by an agent whose clock is
+ahead.
+"""
+
+from math import inf, nextafter
+from typing import NamedTuple
+
+LONG_AGO = 0.0  # the time of a start that the list does not stamp
+LIST_DELAY = 2.0  # seconds from a server's start until lists tell of it, as far as a stamp is believed
+MOST_REMOVED = 4096  # servers whose stamp is remembered after they left the list
+
+
+class Start(NamedTuple):
+    """The last start of a server that lists told of."""
+
+    stamp: float
+    stamp_before: float  # of its start before that: a list that is late may still say it
+    at: float
+
+
+class StartTimes:
+    """When each server started, in seconds of the agent's monotonic clock.
+
+    A stamp is Unix time in milliseconds; 0 means long ago.
+    """
+
+    def __init__(self, now: float, wall: float):
+        """`now`, `wall`: what the monotonic clock and the wall clock show in this moment, in seconds."""
+        self.offset = wall - now
+        self.heard_at = -inf  # when discovery last said something: it told of every start there was by then
+        self.starts: dict[bytes, Start] = {}  # by server name
+        self.removed: dict[bytes, Start] = {}  # of servers that left the list, the longest gone first
+
+    def heard(self, now: float):
+        """Discovery said something, be it that nothing is new."""
+        self.heard_at = now
+
+    def started_at(self, name: bytes, stamp: float, now: float) -> float:
+        """When a server of the list that is read now started. Grows with every new start of the server."""
+        known = self.starts.get(name) or self.removed.pop(name, None)
+        if known is None:
+            known = Start(stamp, stamp, self.mapped(stamp, now))
+        elif stamp and stamp not in (known.stamp, known.stamp_before):
+            at = self.mapped(stamp, now)
+            if at <= known.at:  # it is a later start, whatever the stamps say
+                at = max(now, nextafter(known.at, inf))
+            known = Start(stamp, known.stamp, at)
+        self.starts[name] = known
+        return known.at
+
+    def mapped(self, stamp: float, now: float) -> float:
+        """The stamp on the agent's clock, or this moment where the stamp can't be right."""
+        if not stamp:
+            return LONG_AGO
+        by_wall_clock = stamp / 1e3 - self.offset
+        if self.heard_at - LIST_DELAY <= by_wall_clock <= now:
+            return by_wall_clock
+        return now
+
+    def remove(self, name: bytes):
+        """The server left the list. Should it come back with the same stamp, it is the same process."""
+        known = self.starts.pop(name, None)
+        if known is None:
+            return
+        self.removed[name] = known
+        if len(self.removed) > MOST_REMOVED:
+            del self.removed[next(iter(self.removed))]
--- a/cartdeal/balancer.py
+++ b/cartdeal/balancer.py
@@ -240,7 +240,7 @@
         for s in usable:
             if not self.has_room(s, request, now):
                 continue
-            if s.started and now - s.started < self.settings.cold_for:
+            if self.is_cold(s, now):
                 like = self.warm_rate(s.zone, now) if like is None else like  # once a pick: all may be cold
                 if not self.ramp_allows(s, now, like):
                     continue
@@ -341,9 +341,13 @@
         gain = request.value * (1.0 if last else 1.0 - met / (met + missed + 0.1))
         return gain * self.arrivals.amount > self.settings.crossing_fee * self.priority.amount
 
+    def is_cold(self, server, now):
+        """Whether its start was lately; one that the list does not stamp started long ago."""
+        return bool(server.started) and now - server.started < self.settings.cold_for
+
     def ramp_allows(self, server, now, like):
         """Whether a cold server's ramp allows one more: rule 4 holds if every agent keeps to its own ramp."""
-        age = now - server.started
+        age = max(0.0, now - server.started)
         ramp = 1 - (1 - self.settings.cold_from) * max(0.0, 1 - age / self.settings.cold_for)
         rate = COLD_SHARE * self.settings.cold_multiple * ramp * server.weight * like
         # Counted in short spans: what was not used lately is no leave for a burst.
@@ -352,7 +356,7 @@
         return server.tokens >= 1.0
 
     def warm_rate(self, zone, now):
-        warm = [s for s in self.zones[zone] if s.circuit_closed and now - s.started >= self.settings.cold_for]
+        warm = [s for s in self.zones[zone] if s.circuit_closed and not self.is_cold(s, now)]
         if warm:
             self.warm_rates[zone] = (
                 sum(s.sends.read(now) for s in warm) / FADING_SPAN / sum(s.weight for s in warm)
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -4,13 +4,17 @@
 """
 
 import logging
+import os
 
 import pytest
 
+from cartdeal.agent import start_times
 from cartdeal.agent.configuration import ServerEntry, ServerList
 from cartdeal.agent.reducer import AttemptResult, FailureReason, Progress, Reducer, Request
 from cartdeal.agent.start import LINES, RateLimitFilter
+from cartdeal.agent.start_times import LONG_AGO, StartTimes
 from tests.scene import agent_config
+from tests.test_discovery import BEAT, LIST, World, server, told
 
 WALL = 1_800_000_000.0  # the true time, in Unix seconds, at ...
 BEGIN = 100.0  # ... this moment of the agent's monotonic clock
@@ -100,3 +104,71 @@
     assert sum(let_through(WALL) for _ in range(2 * LINES)) == LINES
     now[0] += 1.5
     assert sum(let_through(WALL - HOUR) for _ in range(2 * LINES)) == LINES
+
+
+def test_age_of_a_server_is_right_by_right_clocks():
+    times = StartTimes(BEGIN, WALL)
+    assert times.started_at(b"first", (WALL - 7.0) * 1e3, BEGIN + 1.0) == pytest.approx(BEGIN - 7.0)
+    assert times.started_at(b"long ago", 0, BEGIN + 1.0) == LONG_AGO
+    times.heard(BEGIN + 5.0)
+    told = times.started_at(b"first", (WALL + 4.0) * 1e3, BEGIN + 6.0)
+    assert told == pytest.approx(BEGIN + 4.0)  # discovery had not heard of it yet when it last said something
+
+
+def test_list_that_is_late_starts_no_server_anew():
+    times, stamps = StartTimes(BEGIN, WALL), [(WALL + start) * 1e3 for start in (0.0, 10.0)]
+    first = times.started_at(b"s", stamps[0], BEGIN + 1.0)
+    times.heard(BEGIN + 9.0)
+    second = times.started_at(b"s", stamps[1], BEGIN + 11.0)
+    assert second > first
+    assert times.started_at(b"s", stamps[0], BEGIN + 12.0) == second
+    assert times.started_at(b"s", stamps[1], BEGIN + 13.0) == second
+    assert times.started_at(b"s", 0, BEGIN + 14.0) == second  # a stamp that is left out tells of no start
+
+
+def test_server_that_comes_back_to_the_list_with_the_same_stamp_is_as_old_as_it_was():
+    times, stamp = StartTimes(BEGIN, WALL), (WALL - HOUR) * 1e3
+    first = times.started_at(b"s", stamp, BEGIN)
+    times.remove(b"s")
+    times.heard(BEGIN + 50.0)
+    assert times.started_at(b"s", stamp, BEGIN + 60.0) == first
+    assert times.started_at(b"another", stamp, BEGIN + 60.0) == BEGIN + 60.0
+
+
+def test_every_new_start_is_later_than_the_one_before_it():
+    times, at = StartTimes(BEGIN, WALL), []
+    for stamp in (WALL, WALL + 1.0, WALL - HOUR, WALL + HOUR, WALL - 2 * HOUR):
+        at.append(times.started_at(b"s", stamp * 1e3, BEGIN + 2.0))  # all in one moment
+        times.heard(BEGIN + 2.0)
+    assert at == sorted(set(at))
+
+
+def test_servers_that_left_are_remembered_up_to_a_bound(monkeypatch):
+    monkeypatch.setattr(start_times, "MOST_REMOVED", 3)
+    times = StartTimes(BEGIN, WALL)
+    for number in range(9):
+        times.started_at(b"%d" % number, WALL * 1e3, BEGIN)
+        times.remove(b"%d" % number)
+        times.remove(b"%d" % number)
+    assert list(times.removed) == [b"6", b"7", b"8"] and not times.starts
+
+
+def test_every_line_of_a_watch_says_that_no_other_server_has_started(tmp_path, monkeypatch):
+    """An agent that heard of nothing new for a while still knows that what it hears then is new."""
+    script = [(0.0, LIST)] + [(2.0 * line, BEAT) for line in range(1, 21)]
+    script.append((41.0, told(5, server("s2", boot_ms=1.0))))
+    world = World(tmp_path, monkeypatch, script)
+    world.play(BEGIN + 41.5)
+    at, version = world.heard[-1]
+    assert version == 5 and world.reducer.start_times.starts[b"s2"].at == at
+    os.close(world.sink)
+
+
+def test_servers_count_as_warm_however_lately_the_agents_machine_was_booted(tmp_path):
+    """The monotonic clock counts from the boot; a server that no stamp is told of started long before it."""
+    reducer = Reducer(agent_config(tmp_path), 1.0, WALL)
+    reducer.listed(ServerList(1, True, tuple(entry(number, None) for number in range(4))))
+    balancer = reducer.balancer
+    assert not any(balancer.is_cold(each, reducer.now) for each in balancer.servers.values())
+    balancer.warm_rate(0, reducer.now)
+    assert 0 in balancer.warm_rates  # known from warm servers
