Use the field's names in the front and in connections

Renames alone: messages (whole), mid_message (midway), writer (rest), ends_after_write (last), discards_input (deaf), is_lingering, respond (say), identify (know), response (worded), and the constants' names, e.g. STALL_TIMEOUT, MOST_PIPELINED. No behaviour changes.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -19,9 +19,9 @@
 FRAMING = 8  # bytes round one byte of a body that a chunked message may take at most
 BODY_LIMIT = 65536  # the longest body
 READ = 4096  # room kept for one read
-HELD = 3  # times that a long body is held at most: in the buffer, by itself, with its head again
-STALLED = 10.0  # how long a peer may take to accept what is left of an answer
-THROWN = 1 << 20  # bytes that are thrown away behind the end of our sending, at most
+BODY_COPIES = 3  # times that a long body is held at most: in the buffer, by itself, with its head again
+WRITE_TIMEOUT = 10.0  # how long a peer may take to accept what is left of an answer
+MOST_DISCARDED = 1 << 20  # bytes that are thrown away behind the end of our sending, at most
 
 
 class Message:
@@ -40,13 +40,13 @@
         )
 
 
-DEAF = bytearray(65536)  # where bytes go that nobody is to read
+DISCARD_BUFFER = bytearray(65536)  # where bytes go that nobody is to read
 
-FRAMES = (b"content-length", b"transfer-encoding")
-BARE = (*range(100, 200), 204, 304)  # statuses of answers without a body
-SIZED = re.compile(rb"([0-9A-Fa-f]+)(?:;.*)?\r\n")  # the line ahead of a chunk
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+BODILESS_STATUSES = (*range(100, 200), 204, 304)  # statuses of answers without a body
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:;.*)?\r\n")  # the line ahead of a chunk
 # A name that some read as one of these and others don't.
-NEARLY = re.compile(rb"(?:content|transfer)[^a-z]*(?:length|encoding)")
+AMBIGUOUS_FRAMING = re.compile(rb"(?:content|transfer)[^a-z]*(?:length|encoding)")
 
 
 class Malformed(Exception):
@@ -121,23 +121,23 @@
         self.kept = 0  # bytes of the body so far, at the buffer's start
         self.framing = 0  # bytes of the message so far that are no body, about
         self.body_size = 0  # bytes of its body so far
-        self.headed = False  # whether its head is whole: what comes as a header then is a trailer
+        self.head_complete = False  # whether its head is whole: what comes as a header then is a trailer
         self.until_close, self.unbounded = until_close, False  # ... and whether the message is such a one
         self.came = 0  # where in the buffer ends what has come
         self.ahead = None  # what a read brought, from before the size of its first chunk on
         self.line = b""  # what has come of a line of framing, over several reads
         self.chunk = None  # bytes that a read brought of the chunk that is open
         self.more = False  # whether more came than the answer that was waited for
-        self.deaf = False  # whether what comes is thrown away, unread, until the other side ends
-        self.midway = False  # whether a message has begun and is not whole
+        self.discards_input = False  # whether what comes is thrown away, unread, until the other side ends
+        self.mid_message = False  # whether a message has begun and is not whole
         self.message = Message()
-        self.whole = []  # messages that have come whole and were not taken yet
+        self.messages = []  # messages that have come whole and were not taken yet
         self.wrong = None
         self.unsent = b""  # what the socket did not take at once
-        self.rest = None  # the greenlet that writes it
-        self.last = False  # whether to half-close once all is written
+        self.writer = None  # the greenlet that writes it
+        self.ends_after_write = False  # whether to half-close once all is written
         self.half_closed = False  # whether our sending has ended
-        self.thrown = 0  # bytes that came since and were thrown away
+        self.discarded = 0  # bytes that came since and were thrown away
         self.closed = False
         self.since = 0.0  # when it became idle, for its owner
 
@@ -147,29 +147,29 @@
         The end may make a message whole.
         """
         self.sock.settimeout(wait)
-        if self.deaf:
-            count = self.sock.recv_into(DEAF)
-            self.thrown += count
-            if self.thrown > len(DEAF):
+        if self.discards_input:
+            count = self.sock.recv_into(DISCARD_BUFFER)
+            self.discarded += count
+            if self.discarded > len(DISCARD_BUFFER):
                 # Who sends without a pause must not hold up everyone else; but one that sent much and went
                 # is read to its end at once, before an attempt of its begins.
                 gevent.sleep(0)
-            return bool(count) and not (self.half_closed and self.thrown > THROWN)
+            return bool(count) and not (self.half_closed and self.discarded > MOST_DISCARDED)
         self.fit()
         count = self.sock.recv_into(self.view[self.kept :])
-        if not count and self.midway and self.unbounded:
+        if not count and self.mid_message and self.unbounded:
             self.on_message_complete()  # an orderly end; a reset has raised, and is none
-        if not count or self.deaf:
+        if not count or self.discards_input:
             return bool(count)
         self.framing += count
         self.came = self.kept + count
         try:
             self.parser.feed_data(self.view[self.kept : self.came])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
-            if not (self.answers and self.whole):  # what follows a whole answer is no fault of its own
+            if not (self.answers and self.messages):  # what follows a whole answer is no fault of its own
                 raise self.wrong or Malformed(400, f"no HTTP: {trouble}") from None
             self.more = True
-        if self.midway and self.message.headers.get(FRAMES[1]):
+        if self.mid_message and self.message.headers.get(FRAMING_HEADERS[1]):
             self.check_chunk()
         self.ahead = None
         if self.framing > HEAD_LIMIT + FRAMING * self.body_size:
@@ -182,7 +182,7 @@
         size = len(self.buffer)
         if size - self.kept < READ:
             size += max(READ, size)
-        elif not self.midway and size > READ:
+        elif not self.mid_message and size > READ:
             size = READ
         if size != len(self.buffer):
             self.view.release()
@@ -194,33 +194,33 @@
     # What the parser finds
 
     def on_message_begin(self):
-        if self.answers and self.whole:
+        if self.answers and self.messages:
             raise self.fault(502, "more than the answer")
-        self.message, self.kept, self.midway, self.headed = Message(), 0, True, False
+        self.message, self.kept, self.mid_message, self.head_complete = Message(), 0, True, False
         self.unbounded = False
         self.claims, self.line, self.chunk = 0, b"", None
         if self.done():
-            self.give_back()
+            self.release_body_memory()
 
     def done(self) -> bool:
         """Whether nothing that came is needed any longer."""
-        return not self.whole
+        return not self.messages
 
     def on_url(self, part: bytes):
         self.message.path += part
 
     def on_header(self, name: bytes, value: bytes):
-        if self.headed:
+        if self.head_complete:
             return  # a trailer must not stand in for a header that has decided already
         name, headers = name.lower(), self.message.headers
         # The parser leaves blanks behind a value. A tab behind a coding stays: the parser doesn't take it for
         # that coding then, and the message would be framed in two ways.
-        value = value.rstrip(b" " if name in FRAMES else b" \t")
+        value = value.rstrip(b" " if name in FRAMING_HEADERS else b" \t")
         # As a list, a repeated one fits no form that holds one value, and no one takes the first or the last.
         headers[name] = headers[name] + b", " + value if name in headers else value
 
     def on_headers_complete(self):
-        message, headers, self.headed = self.message, self.message.headers, True
+        message, headers, self.head_complete = self.message, self.message.headers, True
         if self.answers:
             message.status = self.parser.get_status_code()
         else:
@@ -229,12 +229,12 @@
             raise self.fault(505, "not HTTP/1.1")
         if self.parser.should_upgrade():
             raise self.fault(400, "asks for another protocol")
-        if any(NEARLY.match(name) and name not in FRAMES for name in headers):
+        if any(AMBIGUOUS_FRAMING.match(name) and name not in FRAMING_HEADERS for name in headers):
             raise self.fault(400, "a header that may frame the message")
-        length, coding = (headers.get(name) for name in FRAMES)
+        length, coding = (headers.get(name) for name in FRAMING_HEADERS)
         if coding is not None and coding.lower() != b"chunked":
             raise self.fault(400, "a transfer coding other than chunked")
-        if self.answers and coding is length is None and message.status not in BARE:
+        if self.answers and coding is length is None and message.status not in BODILESS_STATUSES:
             if not self.until_close:
                 raise self.fault(502, "an answer whose end can't be told")
             self.unbounded = True
@@ -267,7 +267,7 @@
         """
         if self.ahead is not None and self.chunk is not None:
             text = self.line + self.ahead[: len(self.ahead) - self.chunk]
-            sized = SIZED.fullmatch(text, text.rfind(b"\n", 0, -1) + 1)  # no match: a trailer
+            sized = CHUNK_SIZE_LINE.fullmatch(text, text.rfind(b"\n", 0, -1) + 1)  # no match: a trailer
             if sized:
                 self.check_size(self.kept + int(sized[1], 16) - self.chunk)
         if self.chunk is None:
@@ -279,7 +279,7 @@
     def check_size(self, size: int):
         if size > self.body_limit:
             raise self.fault(413, f"a body of over {self.body_limit} bytes")
-        more = HELD * size - self.claims
+        more = BODY_COPIES * size - self.claims
         if self.budget and size > READ and more > 0:
             if more > self.budget.long_bodies:
                 raise self.fault(503, "no memory for so long a body")
@@ -287,7 +287,7 @@
             self.claims += more
             self.claimed += more
 
-    def give_back(self):
+    def release_body_memory(self):
         if self.claimed:
             self.budget.long_bodies += self.claimed
             self.claimed = self.claims = 0
@@ -297,14 +297,14 @@
         return self.wrong
 
     def on_message_complete(self):
-        message, self.midway = self.message, False
+        message, self.mid_message = self.message, False
         if not 100 <= message.status < 200:
             self.framing = self.body_size = 0
         message.keep_alive = not self.unbounded and self.parser.should_keep_alive()
         message.body = bytes(self.view[: self.kept])
         self.kept = 0
         if not (self.answers and 100 <= message.status < 200):
-            self.whole.append(message)
+            self.messages.append(message)
 
     def lines(self) -> list[bytes]:
         """Takes the whole lines out of a body that is still coming, and moves the rest down."""
@@ -321,11 +321,11 @@
 
         After the last of it the connection is half-closed, and from now on nothing more is read or written.
         """
-        if self.last:
+        if self.ends_after_write:
             return
-        self.last = last
-        self.deaf |= last
-        if not self.rest:
+        self.ends_after_write = last
+        self.discards_input |= last
+        if not self.writer:
             try:
                 data = data[os.write(self.sock.fileno(), data) :]
             except BlockingIOError:
@@ -333,35 +333,35 @@
             except OSError:
                 return self.close()
         self.unsent += data
-        if self.unsent and not self.rest:
-            self.rest = gevent.spawn(self.push_rest)
-        elif self.last and not self.unsent:
+        if self.unsent and not self.writer:
+            self.writer = gevent.spawn(self.write_rest)
+        elif self.ends_after_write and not self.unsent:
             self.half_close()
 
-    def push_rest(self):
+    def write_rest(self):
         try:
             while self.unsent:
                 data, self.unsent = self.unsent, b""
-                self.sock.settimeout(STALLED)
+                self.sock.settimeout(WRITE_TIMEOUT)
                 self.sock.sendall(data)
         except OSError:
             return self.close()
         finally:
-            self.rest = None
-        if self.last:
+            self.writer = None
+        if self.ends_after_write:
             self.half_close()
 
     def half_close(self):
         """Ends our sending, the one way to close on a peer that may still send.
 
         What comes after it is neither parsed nor taken: it is thrown away until the other side ends, or
-        `THROWN` bytes have come, or the owner closes. A close over unread bytes would reset the connection
-        and take with it what was written last.
+        `MOST_DISCARDED` bytes have come, or the owner closes. A close over unread bytes would reset the
+        connection and take with it what was written last.
         """
         if self.half_closed or self.closed:
             return
-        self.half_closed = self.last = self.deaf = True
-        self.thrown = 0
+        self.half_closed = self.ends_after_write = self.discards_input = True
+        self.discarded = 0
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
@@ -370,13 +370,13 @@
 
     def unread(self) -> bool:
         """Whether bytes, or the other side's end, have come that nobody has read."""
-        return self.shows(select.POLLIN)
+        return self.polls(select.POLLIN)
 
     def peer_ended(self) -> bool:
         """Whether the other side has closed or reset, though nobody may have read that yet."""
-        return self.shows(select.POLLRDHUP)  # with bytes unread before it, too
+        return self.polls(select.POLLRDHUP)  # with bytes unread before it, too
 
-    def shows(self, event: int) -> bool:
+    def polls(self, event: int) -> bool:
         """Whether the socket shows one of poll's events, or an error, now."""
         look = select.poll()
         look.register(self.sock, event)
@@ -385,17 +385,17 @@
     def close(self):
         if not self.closed:
             self.closed = True
-            self.give_back()
+            self.release_body_memory()
             if self.half_closed:
-                self.throw_away()
+                self.discard_unread()
             self.sock.close()
             self.on_close(self)
 
-    def throw_away(self):
+    def discard_unread(self):
         """Takes what lies unread, without waiting: a close over it would reset the connection."""
         self.sock.settimeout(0.0)
         try:
-            while self.thrown <= THROWN and (count := self.sock.recv_into(DEAF)):
-                self.thrown += count
+            while self.discarded <= MOST_DISCARDED and (count := self.sock.recv_into(DISCARD_BUFFER)):
+                self.discarded += count
         except OSError:
             pass
--- a/cartdeal/agent/discovery.py
+++ b/cartdeal/agent/discovery.py
@@ -106,12 +106,12 @@
         called_at = self.address, self.lists_told
         try:
             connection = self.call(PATH, CALL_TIMEOUT)
-            while not connection.whole:
+            while not connection.messages:
                 if not receive_until(connection, due):
                     raise Malformed(400, "ended early")
-            if connection.whole[0].status != 200:
-                raise Malformed(400, f"status {connection.whole[0].status}")
-            found = decode_list(connection.whole[0].body)
+            if connection.messages[0].status != 200:
+                raise Malformed(400, f"status {connection.messages[0].status}")
+            found = decode_list(connection.messages[0].body)
             # A watch has told what is newer, or another service has: this list would take it back.
             if called_at == (self.address, self.lists_told):
                 self.dispatch("listed", found, False)
@@ -197,7 +197,7 @@
 
     @property
     def ended(self) -> bool:
-        return bool(self.connection.whole)
+        return bool(self.connection.messages)
 
     def receive(self) -> bool:
         """Waits for more; false at the end of the stream. Raises TimeoutError where nothing is in time."""
@@ -223,8 +223,8 @@
 
     def arrived_lines(self) -> list[bytes]:
         """Takes the whole lines that came; of an answer that has ended, all that was not taken before."""
-        if self.connection.whole:
-            return self.connection.whole[0].body.splitlines()
+        if self.connection.messages:
+            return self.connection.messages[0].body.splitlines()
         return self.connection.lines()
 
     def is_whole(self, last_line: bytes) -> bool:
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -23,17 +23,17 @@
 from cartdeal.settings import REPEATS, Settings
 from cartdeal.terms import Repeat
 
-GREET = 1.5  # how long an unidentified client may take from connecting to its first whole request
-STALL = 2.0  # how long a client may take over any other
-IDLE = 5.0  # how long a client's connection may stand idle
-LINGER = 0.5  # how long a client may go on sending, unread, after our side has ended
-LINGERING = 8  # one in so many connections may be such a client's
-SWEEP = 0.2  # seconds between looks for connections whose time is up
-UNIDENTIFIED = 4  # one in so many connections may be an unidentified client's ...
-CLIENTS = 0.6  # ... and this share a client's, while there are idle ones to close; servers need the rest
+GREETING_TIMEOUT = 1.5  # how long an unidentified client may take from connecting to its first whole request
+STALL_TIMEOUT = 2.0  # how long a client may take over any other
+IDLE_TIMEOUT = 5.0  # how long a client's connection may stand idle
+LINGER_TIMEOUT = 0.5  # how long a client may go on sending, unread, after our side has ended
+LINGERING_DIVISOR = 8  # one in so many connections may be such a client's
+SWEEP_INTERVAL = 0.2  # seconds between looks for connections whose time is up
+UNIDENTIFIED_DIVISOR = 4  # one in so many connections may be an unidentified client's ...
+CLIENT_SHARE = 0.6  # ... and this share a client's, while there are idle ones to close; servers need the rest
 LONGEST = 60.0  # what a client says it will wait is cut to this
 MARGIN = 0.01  # kept free of a request's time for the agent's own work
-AHEAD = 16  # requests that may wait on one connection for the answer to the one before
+MOST_PIPELINED = 16  # requests that may wait on one connection for the answer to the one before
 
 REASONS = {
     200: b"OK",
@@ -76,22 +76,30 @@
             self.push(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def done(self) -> bool:
-        return not (self.waits or self.whole)
+        return not (self.waits or self.messages)
 
     @property
-    def lingers(self) -> bool:
+    def is_lingering(self) -> bool:
         """Whether it has been told the end, or would have been if it had read it."""
-        return self.half_closed or (self.last and self.refused is not None)
+        return self.half_closed or (self.ends_after_write and self.refused is not None)
 
-    def between(self) -> bool:
-        return self.done() and not (self.midway or self.rest or self.refused)
+    def is_between_requests(self) -> bool:
+        return self.done() and not (self.mid_message or self.writer or self.refused)
 
     def overdue(self, now: float) -> bool:
-        if self.waits or self.whole or (self.rest and not self.lingers):
+        if self.waits or self.messages or (self.writer and not self.is_lingering):
             return False
-        patience = LINGER if self.lingers else GREET if not self.asked else STALL if self.midway else IDLE
+        patience = (
+            LINGER_TIMEOUT
+            if self.is_lingering
+            else GREETING_TIMEOUT
+            if not self.asked
+            else STALL_TIMEOUT
+            if self.mid_message
+            else IDLE_TIMEOUT
+        )
         # What has come by now and was not read yet came in time.
-        return now > self.since + patience and (self.lingers or self.midway or not self.unread())
+        return now > self.since + patience and (self.is_lingering or self.mid_message or not self.unread())
 
 
 class FrontServer:
@@ -116,9 +124,9 @@
 
     def accept(self):
         while self.taking:
-            if len(self.unidentified) * UNIDENTIFIED > self.budget.most:
+            if len(self.unidentified) * UNIDENTIFIED_DIVISOR > self.budget.most:
                 self.close_unidentified()
-            if len(self.clients) > CLIENTS * self.budget.most:
+            if len(self.clients) > CLIENT_SHARE * self.budget.most:
                 self.close_idle()
             # Without a descriptor to spare, clients wait in the listening queue until one is free.
             while not self.budget.acquire():
@@ -145,7 +153,7 @@
 
     def serve(self, client: ClientConnection):
         try:
-            while self.hear(client):
+            while self.receive(client):
                 self.begin(client)
                 if not client.waits:
                     # What is answered at once may come without a pause: a read of bytes that are there
@@ -158,10 +166,10 @@
         finally:
             self.disconnect(client)
 
-    def hear(self, client: ClientConnection) -> bool:
+    def receive(self, client: ClientConnection) -> bool:
         try:
             more = client.receive(None)
-            if len(client.whole) > AHEAD:
+            if len(client.messages) > MOST_PIPELINED:
                 raise Malformed(400, "too many requests ahead of their answers")
             return more
         except Malformed as trouble:
@@ -177,39 +185,39 @@
     def refuse(self, client: ClientConnection, trouble: Malformed):
         """From here on nothing that comes is read; what came whole before is still answered."""
         log.info("refused", extra={"status": trouble.status, "reason": str(trouble)})
-        client.refused, client.deaf = trouble, True
-        del client.whole[AHEAD:]
+        client.refused, client.discards_input = trouble, True
+        del client.messages[MOST_PIPELINED:]
 
     def begin(self, client: ClientConnection):
         """Takes the next request that has come whole, once the one before it is answered."""
-        while client.whole and not (client.waits or client.last or client.closed):
+        while client.messages and not (client.waits or client.ends_after_write or client.closed):
             if client.peer_ended():
                 # Its end would be read behind this request, and an attempt ordered by then still begins.
-                client.whole.clear()
+                client.messages.clear()
                 break
-            message = client.whole.pop(0)
+            message = client.messages.pop(0)
             client.keep_alive = message.keep_alive
             path = message.path.partition(b"?")[0]
             if path == b"/health/ready":
-                self.know(client)
-                self.say(client, 200 if self.ready() else 503)
+                self.identify(client)
+                self.respond(client, 200 if self.ready() else 503)
                 continue
             try:
                 request = self.request(message, path)
             except Malformed as trouble:
-                client.whole.clear()
+                client.messages.clear()
                 self.refuse(client, trouble)
                 break
             client.waits = True
             self.dispatch("taken", client, request)
-        if client.refused and not (client.waits or client.closed or client.last):
+        if client.refused and not (client.waits or client.closed or client.ends_after_write):
             client.since = monotonic()
             self.unidentified[client] = None
             client.push(
-                worded(client.refused.status, str(client.refused).encode(), b"Connection: close\r\n"), True
+                response(client.refused.status, str(client.refused).encode(), b"Connection: close\r\n"), True
             )
 
-    def know(self, client: ClientConnection):
+    def identify(self, client: ClientConnection):
         client.asked = True
         self.unidentified.pop(client, None)
 
@@ -260,11 +268,11 @@
 
     def begun(self, client: ClientConnection, request: int):
         client.request = request
-        self.know(client)
+        self.identify(client)
 
     def refuse_request(self, client: ClientConnection, status: int, words: str):
         client.waits = False
-        client.whole.clear()
+        client.messages.clear()
         self.refuse(client, Malformed(status, words))
 
     def answer(self, client: ClientConnection, status: int, kind: bytes, body: bytes, wait: float):
@@ -272,17 +280,17 @@
         extra = b"Content-Type: %b\r\n" % kind if kind else b""
         if wait:
             extra += b"Retry-After: %.3f\r\n" % wait
-        self.say(client, status, body, extra)
-        if client.whole or client.refused:
+        self.respond(client, status, body, extra)
+        if client.messages or client.refused:
             gevent.spawn(self.begin, client)
         self.budget.freed.set()  # it may be closed now for one that waits at the door
         self.changed.set()
 
-    def say(self, client: ClientConnection, status: int, body: bytes = b"", extra: bytes = b""):
+    def respond(self, client: ClientConnection, status: int, body: bytes = b"", extra: bytes = b""):
         # What was read before the end is answered; what has come and was not read yet is read and answered.
-        more = client.whole or client.midway or client.refused
+        more = client.messages or client.mid_message or client.refused
         last = not client.keep_alive or self.ending and not (more or client.unread())
-        client.push(worded(status, body, extra + b"Connection: close\r\n" * last), last)
+        client.push(response(status, body, extra + b"Connection: close\r\n" * last), last)
 
     def linger(self, client: ClientConnection):
         """Half-closed: it counts against the budget until it is closed, and no longer as a client."""
@@ -290,7 +298,7 @@
         self.unidentified.pop(client, None)
         client.since = monotonic()
         self.lingering[client] = None
-        if len(self.lingering) * LINGERING > self.budget.most:
+        if len(self.lingering) * LINGERING_DIVISOR > self.budget.most:
             self.close_lingering()
         self.changed.set()
 
@@ -312,13 +320,13 @@
         have asked.
         """
         for client in self.unidentified:
-            if client.lingers or not (client.whole or client.unread()):
+            if client.is_lingering or not (client.messages or client.unread()):
                 client.half_close()
                 return True
         return False
 
     def close_idle(self) -> bool:
-        idle = (client for client in self.clients if client.asked and client.between())
+        idle = (client for client in self.clients if client.asked and client.is_between_requests())
         for client in sorted(idle, key=lambda client: client.since):
             if not client.unread():
                 client.half_close()
@@ -326,15 +334,15 @@
         return False
 
     def close_between(self):
-        for client in [each for each in self.clients if each.between() and not each.unread()]:
+        for client in [each for each in self.clients if each.is_between_requests() and not each.unread()]:
             client.half_close()
 
     def sweep(self):
         while True:
-            gevent.sleep(SWEEP)
+            gevent.sleep(SWEEP_INTERVAL)
             now = monotonic()
             for client in [each for each in (*self.clients, *self.lingering) if each.overdue(now)]:
-                client.close() if client.lingers else client.half_close()
+                client.close() if client.is_lingering else client.half_close()
             if self.closing:
                 self.close_between()
 
@@ -372,7 +380,7 @@
             client.close()
 
 
-def worded(status: int, body: bytes, extra: bytes) -> bytes:
+def response(status: int, body: bytes, extra: bytes) -> bytes:
     return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b\r\n%b" % (
         status,
         REASONS[status],
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -226,12 +226,12 @@
 
     def read(self, attempt: Attempt, deadline: float):
         connection = attempt.connection
-        while not connection.whole:
-            if not connection.receive(left(deadline)) and not connection.whole:
+        while not connection.messages:
+            if not connection.receive(left(deadline)) and not connection.messages:
                 return None
             if connection.message.status >= 200:
                 attempt.progress = Progress.HEAD
-        return connection.whole.pop(0)
+        return connection.messages.pop(0)
 
     # Connections
 
@@ -276,7 +276,7 @@
 
     def pool(self, server: int, connection: Connection):
         connection.since = monotonic()
-        connection.give_back()
+        connection.release_body_memory()
         self.idle.setdefault(server, []).append(connection)
         self.budget.freed.set()
 
--- a/cartdeal/rig/play.py
+++ b/cartdeal/rig/play.py
@@ -290,11 +290,11 @@
         """The answer; nothing if the connection ended without a byte of one."""
         try:
             connection.sock.sendall(head.encode())
-            while not connection.whole:
+            while not connection.messages:
                 if not connection.receive(kind.limit_s + TAIL):
                     connection.close()
                     return None
-            return connection.whole.pop()
+            return connection.messages.pop()
         except (OSError, Malformed):
             connection.close()
             return None
--- a/cartdeal/rig/stands.py
+++ b/cartdeal/rig/stands.py
@@ -57,8 +57,8 @@
     def serve(self, connection):
         try:
             while not connection.closed and connection.receive(None):
-                while connection.whole and not connection.closed:
-                    self.play(connection, connection.whole.pop(0))
+                while connection.messages and not connection.closed:
+                    self.play(connection, connection.messages.pop(0))
         except (OSError, Malformed):
             pass
         connection.close()
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -41,8 +41,8 @@
     def serve(self, connection: Connection):
         try:
             while not connection.closed and connection.receive(None):
-                while connection.whole:
-                    self.play(connection, connection.whole.pop(0))
+                while connection.messages:
+                    self.play(connection, connection.messages.pop(0))
         except (OSError, Malformed):
             pass
         connection.close()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -275,9 +275,9 @@
         try:
             connection.push("\r\n".join([*head, "", ""]).encode())
             until = monotonic() + wait
-            while not connection.whole and connection.receive(max(0.01, until - monotonic())):
+            while not connection.messages and connection.receive(max(0.01, until - monotonic())):
                 pass
-            message = connection.whole[0] if connection.whole else None
+            message = connection.messages[0] if connection.messages else None
             return (message.status, message.body, message.headers) if message else (0, b"", {})
         except OSError:
             return 0, b"", {}
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -196,9 +196,9 @@
     """Takes several answers, one behind the other; a server's connection takes one at a time."""
 
     def on_message_begin(self):
-        whole, self.whole = self.whole, []
+        messages, self.messages = self.messages, []
         super().on_message_begin()
-        self.whole = whole
+        self.messages = messages
 
 
 class Deployment:
@@ -243,10 +243,10 @@
 
 
 def answered(connection):
-    while not connection.whole:
+    while not connection.messages:
         if not connection.receive(5.0):
             return None
-    message = connection.whole.pop(0)
+    message = connection.messages.pop(0)
     return message.status, message.body
 
 
--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -290,9 +290,9 @@
     """Status, and the pause that is asked for."""
     connection = deployment.connect()
     connection.sock.sendall(worded(*args, **headers))
-    while not connection.whole:
+    while not connection.messages:
         assert connection.receive(5.0)
-    return connection.whole[0].status, connection.whole[0].headers.get(b"retry-after")
+    return connection.messages[0].status, connection.messages[0].headers.get(b"retry-after")
 
 
 def test_what_the_fleet_is_asked_of_a_request(deploy):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -202,7 +202,7 @@
 def test_client_is_heard_to_leave_though_its_connection_is_deaf(deployment):
     client = deployment.connect()
     client.sock.sendall(worded("/read/1?do=wait") + b"no request\r\n\r\n")
-    until(lambda: deployment.seen() and any(each.deaf for each in deployment.agent.front.clients))
+    until(lambda: deployment.seen() and any(each.discards_input for each in deployment.agent.front.clients))
     client.close()
     until(lambda: not deployment.agent.reducer.pending_count)
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -47,10 +47,10 @@
 
 def read(connection):
     """The body of the answer; None where the stream ends before that is whole."""
-    while not connection.whole:
-        if not connection.receive(5.0) and not connection.whole:
+    while not connection.messages:
+        if not connection.receive(5.0) and not connection.messages:
             return None
-    return connection.whole[0].body
+    return connection.messages[0].body
 
 
 def cut(text, end):
@@ -79,7 +79,7 @@
 @pytest.mark.parametrize("text", [HEAD + b"\r\n", OPEN, OPEN + bytes(50000)], ids=["empty", "short", "long"])
 def test_only_an_orderly_end_ends_an_answer_without_a_length(text):
     connection = cut(text, socket.socket.close)
-    assert read(connection) == text.partition(b"\r\n\r\n")[2] and not connection.whole[0].keep_alive
+    assert read(connection) == text.partition(b"\r\n\r\n")[2] and not connection.messages[0].keep_alive
     with pytest.raises(ConnectionResetError):
         read(cut(text, reset))
     strict, theirs = pair(until_close=False)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -73,14 +73,14 @@
         assert deployment.ask(connection=connection)[0] == 200
     crosses(connection)
     end(agent)
-    monkeypatch.setattr(front, "IDLE", 0.0)  # the sweep, where nobody else did
+    monkeypatch.setattr(front, "IDLE_TIMEOUT", 0.0)  # the sweep, where nobody else did
     assert ends_in_order(deployment, connection)
     connection.close()
     until(lambda: not agent.lingering)
 
 
 def test_request_that_crosses_the_last_answer(deployment, crosses, monkeypatch):
-    monkeypatch.setattr(front, "LINGER", 60.0)
+    monkeypatch.setattr(front, "LINGER_TIMEOUT", 60.0)
     agent, connection = deployment.agent.front, deployment.connect()
     assert deployment.ask(connection=connection)[0] == 200
     agent.ending = True
@@ -104,7 +104,11 @@
 
 
 def test_request_unread_as_the_agent_closes_is_answered(deployment, crosses, monkeypatch):
-    agent, connection, between = deployment.agent.front, deployment.connect(), ClientConnection.between
+    agent, connection, between = (
+        deployment.agent.front,
+        deployment.connect(),
+        ClientConnection.is_between_requests,
+    )
     assert deployment.ask(connection=connection)[0] == 200
     crossed = []
 
@@ -115,7 +119,7 @@
             return True
         return between(client)
 
-    monkeypatch.setattr(ClientConnection, "between", arrives)
+    monkeypatch.setattr(ClientConnection, "is_between_requests", arrives)
     agent.close(0.0)
     assert answered(connection) == (200, b"s0 ") and answered(connection) is None
 
@@ -134,7 +138,7 @@
     assert deployment.ask(connection=connection)[0] == 200
     connection.sock.sendall(text[:9])
     client = next(iter(agent.clients))
-    until(lambda: client.midway)
+    until(lambda: client.mid_message)
     agent.close(0.0)
     connection.sock.sendall(text[9:])
     assert answered(connection) == (200, b"s0 ") and answered(connection) is None
@@ -148,9 +152,9 @@
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
     for place in range(8):  # more than what the system takes at once
         connection.sock.sendall(worded(f"/mark/{place}", "POST", body, Idempotency_Key="k"))
-    until(lambda: client.rest and len(deployment.seen()) == 8)
+    until(lambda: client.writer and len(deployment.seen()) == 8)
     agent.close(0.0)
-    assert client.rest and not client.half_closed
+    assert client.writer and not client.half_closed
     assert [answered(connection) for _ in range(8)] == [(200, b"s0 " + body)] * 8
     assert answered(connection) is None
 
@@ -183,13 +187,13 @@
 
 
 def test_lingering_clients_are_bounded_in_number_and_give_way_when_room_is_needed(deployment, monkeypatch):
-    monkeypatch.setattr(front, "LINGER", 60.0)
+    monkeypatch.setattr(front, "LINGER_TIMEOUT", 60.0)
     agent, room = deployment.agent.front, deployment.agent.budget
     kept = [refused(deployment) for _ in range(3)]
     assert len(agent.lingering) == 3 and not agent.clients and not agent.unidentified
     room.most = 3  # they hold all of it
     assert deployment.ask("/health/ready") == (200, b"")
-    room.most = 2 * front.LINGERING
+    room.most = 2 * front.LINGERING_DIVISOR
     kept += [refused(deployment) for _ in range(5)]
     assert len(agent.lingering) <= 2 and room.used <= 5  # another, one to come, and the one that asked
     for each in kept:
@@ -199,14 +203,14 @@
 
 def test_lingering_clients_are_bounded_in_bytes_and_in_time(deployment, monkeypatch):
     agent, connection = deployment.agent.front, refused(deployment)
-    monkeypatch.setattr(front, "LINGER", 60.0)
+    monkeypatch.setattr(front, "LINGER_TIMEOUT", 60.0)
     until(lambda: agent.lingering)
     with pytest.raises(OSError):
         for _ in range(1000):
             connection.sock.sendall(bytes(65536))
     assert not agent.lingering
     connection = refused(deployment)
-    monkeypatch.setattr(front, "LINGER", 0.0)
+    monkeypatch.setattr(front, "LINGER_TIMEOUT", 0.0)
     until(lambda: not agent.lingering)
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -320,7 +320,7 @@
 
 
 def test_unidentified_clients_have_little_room_and_time_and_the_usual_all_the_rest(deploy, monkeypatch):
-    monkeypatch.setattr("cartdeal.agent.front.GREET", 0.05)
+    monkeypatch.setattr("cartdeal.agent.front.GREETING_TIMEOUT", 0.05)
     deployment = deploy(limits={"memory_mb": 64, "sockets": 96})
     front, usual = deployment.agent.front, [deployment.connect() for _ in range(4)]
     for client in usual:
@@ -345,14 +345,14 @@
 
 
 def test_half_a_request_and_a_connection_that_stands_idle_are_closed(deploy, monkeypatch):
-    monkeypatch.setattr("cartdeal.agent.front.STALL", 0.05)
+    monkeypatch.setattr("cartdeal.agent.front.STALL_TIMEOUT", 0.05)
     deployment = deploy()
     connection, idle = deployment.connect(), deployment.connect()
     for each in (connection, idle):
         assert deployment.ask(connection=each)[0] == 200
     connection.sock.sendall(b"GET /read/x HT")
     assert answered(connection) is None and len(deployment.agent.front.clients) == 1
-    monkeypatch.setattr("cartdeal.agent.front.IDLE", 0.05)
+    monkeypatch.setattr("cartdeal.agent.front.IDLE_TIMEOUT", 0.05)
     assert answered(idle) is None and not deployment.agent.front.clients
 
 
@@ -360,7 +360,7 @@
     ours, theirs = socket.socketpair()
     connection = Connection(ours, answers=True)
     gevent.spawn(lambda: (theirs.send(answer(200)), time.sleep(0.06)))  # the whole agent runs late
-    assert connection.receive(0.03) and connection.whole
+    assert connection.receive(0.03) and connection.messages
     with pytest.raises(TimeoutError):
         connection.receive(0.001)
 
