--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -340,11 +340,15 @@
     def sweep(self):
         while True:
             gevent.sleep(SWEEP_INTERVAL)
-            now = monotonic()
-            for client in [each for each in (*self.clients, *self.lingering) if each.overdue(now)]:
-                client.close() if client.is_lingering else client.half_close()
-            if self.closing:
-                self.close_between()
+            self.close_overdue()
+
+    def close_overdue(self):
+        """Closes the connections whose time is up."""
+        now = monotonic()
+        for client in [each for each in (*self.clients, *self.lingering) if each.overdue(now)]:
+            client.close() if client.is_lingering else client.half_close()
+        if self.closing:
+            self.close_between()
 
     def stop_accepting(self):
         """Closes the door. Connections that are open stay so: their clients may have no other way.
