Read slow clients on, answer all that was read, and count time from then

Cause: a client's time for a request ran from its connection (1.5 s) or its first byte (2.0 s) whatever kept coming, and its end was a close without an answer; more than 16 requests ahead were an error, and those behind it were dropped; a request's time began when its turn came. Change: a client may pause for 2 s in the middle of a request and take 6 s over it, or as long as it says that it waits; then it is answered 408. One ended for room, or at the agent's end, is answered 503; those that write for over 2 s are ended for room after the idle. While 16 requests wait on a connection no more is read, and a read of many small ones is parsed by pieces of 512 bytes. Time counts from a request's last byte; where bytes lay unread meanwhile, from when that began. One with no time left is rejected at its turn. What was read behind a bad request is rejected, and goes nowhere as before.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -20,6 +20,8 @@
 BODY_LIMIT = 65536  # the longest body
 READ = 4096  # room kept for one read
 BODY_COPIES = 3  # times that a long body is held at most: in the buffer, by itself, with its head again
+DENSE = 32  # lines in one read, from which on it may hold many messages and is parsed by pieces ...
+PIECE = 512  # ... of so many bytes
 WRITE_TIMEOUT = 10.0  # how long a peer may take to accept what is left of an answer
 MOST_DISCARDED = 1 << 20  # bytes that are thrown away behind the end of our sending, at most
 
@@ -27,17 +29,16 @@
 class Message:
     """A request or an answer, whole."""
 
-    __slots__ = ("method", "path", "status", "headers", "body", "keep_alive")
+    __slots__ = ("method", "path", "status", "headers", "body", "keep_alive", "came_at")
 
     def __init__(self):
-        self.method, self.path, self.status, self.headers, self.body, self.keep_alive = (
-            b"",
-            b"",
-            0,
-            {},
-            b"",
-            True,
-        )
+        self.method = b""
+        self.path = b""
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.keep_alive = True
+        self.came_at = 0.0  # monotonic time in seconds at which its last byte came, for its owner
 
 
 DISCARD_BUFFER = bytearray(65536)  # where bytes go that nobody is to read
@@ -132,6 +133,7 @@
         self.mid_message = False  # whether a message has begun and is not whole
         self.message = Message()
         self.messages = []  # messages that have come whole and were not taken yet
+        self.unparsed = b""  # requests that were read and not parsed yet, for their reader may pause
         self.wrong = None
         self.unsent = b""  # what the socket did not take at once
         self.writer = None  # the greenlet that writes it
@@ -156,11 +158,12 @@
                 gevent.sleep(0)
             return bool(count) and not (self.half_closed and self.discarded > MOST_DISCARDED)
         self.fit()
-        count = self.sock.recv_into(self.view[self.kept :])
+        count = self.take_unparsed() or self.sock.recv_into(self.view[self.kept :])
         if not count and self.mid_message and self.unbounded:
             self.on_message_complete()  # an orderly end; a reset has raised, and is none
         if not count or self.discards_input:
             return bool(count)
+        count = self.put_off(count)
         self.framing += count
         self.came = self.kept + count
         try:
@@ -177,6 +180,23 @@
             raise Malformed(431, f"a head of over {HEAD_LIMIT} bytes")
         return True
 
+    def take_unparsed(self) -> int:
+        """Moves the next piece of what was read before to where a read would put it; gives its length."""
+        piece, self.unparsed = self.unparsed[:PIECE], self.unparsed[PIECE:]
+        self.view[self.kept : self.kept + len(piece)] = piece
+        return len(piece)
+
+    def put_off(self, count: int) -> int:
+        """Puts off all but the first piece of a read that may hold many requests; gives how much is left.
+
+        The parser makes messages of all that it is given, and a message takes many times its bytes.
+        """
+        end = self.kept + count
+        if self.answers or count <= PIECE or self.buffer.count(b"\n", self.kept, end) <= DENSE:
+            return count
+        self.unparsed = bytes(self.view[self.kept + PIECE : end])
+        return PIECE
+
     def fit(self):
         """Grows the buffer where it is nearly full, and gives up what a long body needed."""
         size = len(self.buffer)
@@ -370,7 +390,7 @@
 
     def unread(self) -> bool:
         """Whether bytes, or the other side's end, have come that nobody has read."""
-        return self.polls(select.POLLIN)
+        return bool(self.unparsed) or self.polls(select.POLLIN)
 
     def peer_ended(self) -> bool:
         """Whether the other side has closed or reset, though nobody may have read that yet."""
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -4,9 +4,13 @@
 disturb another connection, and never words a final answer itself: that is the reducer's.
 
 A connection ends when its client ends it, when it is refused, or by the sweep: an unidentified client, which
-has asked nothing good yet, has little time and room; one that has asked may stand idle for a while. Whatever
-ends it here, it is half-closed first, and what then comes is thrown away for a moment: what a client sent
-just then must neither be taken nor reset the connection under its last answer.
+has asked nothing good yet, has little time and room; one that has asked may stand idle for a while. A client
+in the middle of a request is read as long as bytes keep coming, and has an answer should it be closed.
+Whatever ends a connection here, it is half-closed first, and what then comes is thrown away for a moment:
+what a client sent just then must neither be taken nor reset the connection under its last answer.
+
+Requests may be sent ahead of the answers to those before them. All that is read is answered in turn; while
+many wait, no more is read. The time of each runs from when its last byte came.
 """
 
 import hashlib
@@ -23,8 +27,9 @@
 from cartdeal.settings import REPEATS, Settings
 from cartdeal.terms import Repeat
 
-GREETING_TIMEOUT = 1.5  # how long an unidentified client may take from connecting to its first whole request
-STALL_TIMEOUT = 2.0  # how long a client may take over any other
+GREETING_TIMEOUT = 1.5  # how long an unidentified client may take from connecting to its first byte
+STALL_TIMEOUT = 2.0  # how long a client may pause in the middle of a request
+READING_LIMIT = 6.0  # how long it may take over one, or as long as it says that it waits
 IDLE_TIMEOUT = 5.0  # how long a client's connection may stand idle
 LINGER_TIMEOUT = 0.5  # how long a client may go on sending, unread, after our side has ended
 LINGERING_DIVISOR = 8  # one in so many connections may be such a client's
@@ -33,13 +38,15 @@
 CLIENT_SHARE = 0.6  # ... and this share a client's, while there are idle ones to close; servers need the rest
 LONGEST = 60.0  # what a client says it will wait is cut to this
 MARGIN = 0.01  # kept free of a request's time for the agent's own work
-MOST_PIPELINED = 16  # requests that may wait on one connection for the answer to the one before
+MOST_PIPELINED = 16  # requests that wait on one connection for those before, from which on no more is read
+UNREAD_LOOK = 0.05  # seconds between looks whether bytes lie unread, while none are read
 
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
     404: b"Not Found",
     405: b"Method Not Allowed",
+    408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
     429: b"Too Many Requests",
@@ -57,24 +64,53 @@
 
 
 class ClientConnection(Connection):
-    """A connection of the application; while it `waits`, `request` is the one that it waits for."""
+    """A connection of the application; while it `waits`, `request` is the one that it waits for.
+
+    All times are seconds of the monotonic clock.
+    """
 
     def __init__(self, sock, on_close, budget, on_half_close):
         super().__init__(sock, answers=False, on_close=on_close, budget=budget, on_half_close=on_half_close)
         self.request, self.waits, self.keep_alive, self.asked = 0, False, True, False
         self.refused = None  # what came that ends the connection once all before it is answered
         self.since = monotonic()  # when it came, was last asked on or answered, or was half-closed
+        self.read_at = self.since  # when bytes last came
+        self.began_at = self.since  # when the first of the message that is coming did ...
+        self.reading_limit = READING_LIMIT  # ... and how long the whole of it may take
+        self.unread_since = None  # from when on bytes may have lain unread; None: all was read
+        self.turn_came = Event()  # set when one of `messages` was taken
+
+    def receive(self, wait: float | None) -> bool:
+        more = super().receive(wait)
+        self.read_at = monotonic()
+        if self.unread_since is None:
+            self.unread_since = self.read_at if self.unparsed else None
+        elif not self.unread():
+            self.unread_since = None
+        return more
+
+    def note_unread(self):
+        """Remembers when bytes lay unread: what is made of them came by then, for all that can be known."""
+        if self.unread_since is None and self.unread():
+            self.unread_since = monotonic()
 
     def on_message_begin(self):
         super().on_message_begin()
+        self.began_at, self.reading_limit = monotonic(), READING_LIMIT
         if self.asked:  # an unidentified client's time runs from when it came, whatever it sends
-            self.since = monotonic()
+            self.since = self.began_at
 
     def on_headers_complete(self):
         super().on_headers_complete()
+        stated = stated_wait(self.message.headers)
+        self.reading_limit = max(READING_LIMIT, stated or 0.0)
         if self.message.headers.get(b"expect", b"").lower() == b"100-continue" and not self.waits:
             self.push(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def on_message_complete(self):
+        super().on_message_complete()
+        self.messages[-1].came_at = monotonic() if self.unread_since is None else self.unread_since
+
     def done(self) -> bool:
         return not (self.waits or self.messages)
 
@@ -83,23 +119,27 @@
         """Whether it has been told the end, or would have been if it had read it."""
         return self.half_closed or (self.ends_after_write and self.refused is not None)
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a part of a request has come, and nothing else is under way on the connection."""
+        return self.mid_message and self.done() and not (self.refused or self.is_lingering)
+
     def is_between_requests(self) -> bool:
-        return self.done() and not (self.mid_message or self.writer or self.refused)
+        return self.done() and not (self.mid_message or self.writer or self.refused or self.unparsed)
 
     def overdue(self, now: float) -> bool:
-        if self.waits or self.messages or (self.writer and not self.is_lingering):
+        if not self.done() or (self.writer and not self.is_lingering):
             return False
-        patience = (
-            LINGER_TIMEOUT
-            if self.is_lingering
-            else GREETING_TIMEOUT
-            if not self.asked
-            else STALL_TIMEOUT
-            if self.mid_message
-            else IDLE_TIMEOUT
-        )
+        if self.is_lingering:
+            return now > self.since + LINGER_TIMEOUT
+        if self.mid_message and now > self.began_at + self.reading_limit:
+            return True
+        if self.mid_message:
+            ends_at = self.read_at + STALL_TIMEOUT
+        else:
+            ends_at = self.since + (IDLE_TIMEOUT if self.asked else GREETING_TIMEOUT)
         # What has come by now and was not read yet came in time.
-        return now > self.since + patience and (self.is_lingering or self.mid_message or not self.unread())
+        return now > ends_at and not self.unread()
 
 
 class FrontServer:
@@ -117,7 +157,7 @@
         self.taking, self.ending, self.changed = True, False, Event()
         self.closing = False  # whether a client between requests is closed at once
         # The first closes what the others have half-closed.
-        budget.closers += self.close_lingering, self.close_unidentified, self.close_idle
+        budget.closers += self.close_lingering, self.close_unidentified, self.close_idle, self.close_slowest
         self.listener = bound(socket.SOCK_STREAM, config.listen)
         self.listener.listen(512)
         self.port = self.listener.getsockname()[1]
@@ -127,7 +167,7 @@
             if len(self.unidentified) * UNIDENTIFIED_DIVISOR > self.budget.most:
                 self.close_unidentified()
             if len(self.clients) > CLIENT_SHARE * self.budget.most:
-                self.close_idle()
+                self.close_idle() or self.close_slowest()
             # Without a descriptor to spare, clients wait in the listening queue until one is free.
             while not self.budget.acquire():
                 self.budget.freed.clear()
@@ -168,14 +208,21 @@
 
     def receive(self, client: ClientConnection) -> bool:
         try:
-            more = client.receive(None)
-            if len(client.messages) > MOST_PIPELINED:
-                raise Malformed(400, "too many requests ahead of their answers")
-            return more
+            return self.wait_for_turn(client) and client.receive(None)
         except Malformed as trouble:
             self.refuse(client, trouble)
             return True
 
+    def wait_for_turn(self, client: ClientConnection) -> bool:
+        """Waits while many requests on the connection do; false where the client has gone meanwhile."""
+        while len(client.messages) >= MOST_PIPELINED and not client.discards_input:
+            client.turn_came.clear()
+            client.turn_came.wait(UNREAD_LOOK)
+            if client.closed or client.peer_ended():
+                return False
+            client.note_unread()
+        return True
+
     def disconnect(self, client: ClientConnection):
         if client.waits:
             client.waits = False
@@ -186,7 +233,32 @@
         """From here on nothing that comes is read; what came whole before is still answered."""
         log.info("refused", extra={"status": trouble.status, "reason": str(trouble)})
         client.refused, client.discards_input = trouble, True
-        del client.messages[MOST_PIPELINED:]
+
+    def end_with(self, client: ClientConnection, trouble: Malformed):
+        """The one answer to a request that was read in part and is read no further."""
+        self.refuse(client, trouble)
+        self.begin(client)
+
+    def answer_unusable(self, client: ClientConnection, trouble: Malformed):
+        """A whole request that can't be taken ends its connection; those read behind it are rejected."""
+        answers = [trouble] + [Malformed(503, "behind a bad request")] * self.drop_read(client)
+        for each in answers[:-1]:
+            log.info("request refused", extra={"status": each.status, "reason": str(each)})
+            client.push(response(each.status, str(each).encode(), b""))
+        self.refuse(client, answers[-1])
+
+    def drop_read(self, client: ClientConnection) -> int:
+        """Drops the requests that were read, also one of which only a part was; gives how many there were."""
+        count = len(client.messages)
+        client.messages.clear()
+        while client.unparsed:
+            try:
+                client.receive(0.0)
+            except Malformed:
+                break
+            count += len(client.messages)
+            client.messages.clear()
+        return count + client.mid_message
 
     def begin(self, client: ClientConnection):
         """Takes the next request that has come whole, once the one before it is answered."""
@@ -196,6 +268,7 @@
                 client.messages.clear()
                 break
             message = client.messages.pop(0)
+            client.turn_came.set()
             client.keep_alive = message.keep_alive
             path = message.path.partition(b"?")[0]
             if path == b"/health/ready":
@@ -205,9 +278,8 @@
             try:
                 request = self.request(message, path)
             except Malformed as trouble:
-                client.messages.clear()
-                self.refuse(client, trouble)
-                break
+                self.answer_unusable(client, trouble)
+                continue
             client.waits = True
             self.dispatch("taken", client, request)
         if client.refused and not (client.waits or client.closed or client.ends_after_write):
@@ -235,12 +307,10 @@
         if idempotency_key and not NAME.fullmatch(idempotency_key):
             raise Malformed(400, "no Idempotency-Key that can be used")
         kind = self.settings.request_classes[request_class]
-        wait = kind.timeout
-        if b"x-timeout" in headers:
-            found = WAIT.fullmatch(headers[b"x-timeout"].strip())
-            if not found:
-                raise Malformed(400, "X-Timeout is no number with m or u")
-            wait = min(LONGEST, float(found[1]) / UNITS[found[2]])
+        wait = stated_wait(headers) if b"x-timeout" in headers else kind.timeout
+        if wait is None:
+            raise Malformed(400, "X-Timeout is no number with m or u")
+        waited = monotonic() - message.came_at
         sessions = set(SESSION.findall(headers.get(b"cookie", b"")))
         if len(sessions) > 1:
             raise Malformed(400, "more than one sid")
@@ -253,7 +323,7 @@
             not promised,
             self.tenants.get(tenant, len(self.tenants) if tenant else 0),
             hashed(sessions.pop()) if sessions else 0,
-            wait - min(MARGIN, wait / 10),
+            wait - waited - min(MARGIN, wait / 10),
             headers.get(b"x-retried") == b"1",
             message.method,
             message.path,
@@ -272,8 +342,7 @@
 
     def refuse_request(self, client: ClientConnection, status: int, words: str):
         client.waits = False
-        client.messages.clear()
-        self.refuse(client, Malformed(status, words))
+        self.answer_unusable(client, Malformed(status, words))
 
     def answer(self, client: ClientConnection, status: int, kind: bytes, body: bytes, wait: float):
         client.waits, client.since = False, monotonic()
@@ -316,14 +385,31 @@
         return False
 
     def close_unidentified(self) -> bool:
-        """Half-closes the unidentified client that has said nothing for longest: one with bytes unread may
-        have asked.
+        """Half-closes the unidentified client that has been here for longest, one in the middle of a request
+        last of all: one with bytes unread may have asked.
         """
+        in_the_middle = None
         for client in self.unidentified:
-            if client.is_lingering or not (client.messages or client.unread()):
+            if not client.is_lingering and (client.messages or client.unread()):
+                continue
+            if not client.is_writing:
                 client.half_close()
                 return True
-        return False
+            in_the_middle = in_the_middle or client
+        if in_the_middle is None:
+            return False
+        self.end_with(in_the_middle, Malformed(503, "no room"))
+        return True
+
+    def close_slowest(self) -> bool:
+        """Ends the client that has been writing one request for longest, beyond STALL_TIMEOUT."""
+        now = monotonic()
+        slow = [each for each in self.clients if each.is_writing and now > each.began_at + STALL_TIMEOUT]
+        slowest = min(slow, key=lambda each: each.began_at, default=None)
+        if slowest is None:
+            return False
+        self.end_with(slowest, Malformed(503, "no room"))
+        return True
 
     def close_idle(self) -> bool:
         idle = (client for client in self.clients if client.asked and client.is_between_requests())
@@ -346,7 +432,12 @@
         """Closes the connections whose time is up."""
         now = monotonic()
         for client in [each for each in (*self.clients, *self.lingering) if each.overdue(now)]:
-            client.close() if client.is_lingering else client.half_close()
+            if client.is_lingering:
+                client.close()
+            elif client.is_writing:
+                self.end_with(client, Malformed(408, "the rest of the request did not come in time"))
+            else:
+                client.half_close()
         if self.closing:
             self.close_between()
 
@@ -380,6 +471,8 @@
     def finish(self):
         """Closes whoever is left. An exit would do so over unread bytes, and reset the last answers."""
         for client in [*self.clients, *self.lingering]:
+            if client.is_writing:
+                self.end_with(client, Malformed(503, "the agent ends"))
             client.half_close()
             client.close()
 
@@ -394,6 +487,12 @@
     )
 
 
+def stated_wait(headers: dict[bytes, bytes]) -> float | None:
+    """Seconds that a client says it waits, LONGEST at most; None where it says nothing that can be read."""
+    found = WAIT.fullmatch(headers.get(b"x-timeout", b"").strip())
+    return min(LONGEST, float(found[1]) / UNITS[found[2]]) if found else None
+
+
 def hashed(key: bytes) -> int:
     """The same in every process, unlike hash()."""
     return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "little") or 1
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -81,7 +81,7 @@
     non_idempotent: bool  # its form promises less than its request class: it may run once at most
     tenant: int
     key: int
-    wait: float  # how long the client waits, from when its bytes were read
+    wait: float  # how long the client still waits, in seconds; none is left where it is not above 0
     repeat: bool
     method: bytes
     path: bytes
@@ -203,9 +203,11 @@
         pending = self.requests[number] = PendingRequest(client, request, deadline)
         self.effects.append(("begun", client, number))
         self.effects.append(("remind", number, deadline + OVERDUE))
-        if self.longest_requests is None:
+        pending.waits = self.longest_requests is not None
+        if pending.deadline <= self.now:  # it waited for those ahead of it, or the agent ends
+            return self.overdue(number)
+        if not pending.waits:
             return self.route(number, pending)
-        pending.waits = True
         self.effects.append(("admit", number, request, deadline))
 
     def route(self, number: int, pending: PendingRequest):
