--- /dev/null
+++ b/tests/system_faults.py
@@ -0,0 +1,101 @@
+"""Makes the system calls of an agent fail, as Linux documents that they may.
+
+A call fails before it reaches the system, so what it would have done has not been done.
+"""
+
+import errno
+import os
+import select
+from dataclasses import dataclass
+from random import Random
+from types import SimpleNamespace
+
+import gevent.socket
+
+from cartdeal.agent import connection
+
+SOCKET_CALLS = (
+    "bind",
+    "listen",
+    "accept",
+    "connect",
+    "send",
+    "recv_into",
+    "recvfrom",
+    "sendto",
+    "shutdown",
+    "setsockopt",
+)
+CALLS = ("socket", "write", "poll", *SOCKET_CALLS)
+
+
+@dataclass
+class Plan:
+    """Calls that fail: the next `times` of them, or each by `chance`. `only(sock)` says on which sockets."""
+
+    errors: tuple[int, ...]
+    times: float
+    chance: float
+    only: object
+
+
+class SystemFaults:
+    """Installed once in a process or test; `fail` says which calls fail from then on."""
+
+    def __init__(self, seed=0):
+        self.random = Random(seed)
+        self.plans: dict[str, Plan] = {}
+        self.counts = dict.fromkeys(CALLS, 0)  # of calls that were made to fail
+
+    def fail(self, call, *errors, times=float("inf"), chance=1.0, only=lambda sock: True):
+        assert call in CALLS, call
+        self.plans[call] = Plan(errors, times, chance, only)
+
+    def heal(self, *calls):
+        for call in calls or list(self.plans):
+            self.plans.pop(call, None)
+
+    def check(self, call, sock=None):
+        """Raises what the call is planned to fail with, if it is."""
+        plan = self.plans.get(call)
+        if plan is None or plan.times <= 0 or not plan.only(sock) or self.random.random() >= plan.chance:
+            return
+        plan.times -= 1
+        self.counts[call] += 1
+        number = self.random.choice(plan.errors)
+        raise OSError(number, os.strerror(number))
+
+    def install(self, replace):
+        """`replace(object, name, value)` puts a value in place of an attribute, like monkeypatch.setattr."""
+        socket_class = gevent.socket.socket
+        make = socket_class.__init__
+
+        def made(sock, family=-1, type=-1, proto=-1, fileno=None):
+            if fileno is None:
+                self.check("socket")
+            make(sock, family, type, proto, fileno)
+
+        replace(socket_class, "__init__", made)
+        for call in SOCKET_CALLS:
+            replace(socket_class, call, self.wrapped(call, getattr(socket_class, call, None)))
+        replace(connection, "os", SimpleNamespace(write=self.write))
+        replace(connection, "select", SimpleNamespace(**vars(select) | {"poll": self.poll}))
+
+    def wrapped(self, call, original):
+        def played(sock, *arguments, **named):
+            self.check(call, sock)
+            method = original or getattr(sock._sock, call)
+            return method(sock, *arguments, **named) if original else method(*arguments, **named)
+
+        return played
+
+    def write(self, descriptor, data):
+        self.check("write")
+        return os.write(descriptor, data)
+
+    def poll(self):
+        self.check("poll")
+        return select.poll()
+
+
+OWN_LIMITS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
