Tell the agent's own limits from servers' failures, and lose no descriptor to them

Cause: UpstreamPool.connect took a place in the budget and made the socket outside of the try; each OSError of connect was the server's failure; ETIMEDOUT is a TimeoutError in Python, and was taken for silence in attempts and watches. Change: agent/system_errors.py sorts errors. EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL while connecting end an attempt as one never sent. ENETUNREACH does, too, until another server is heard: then it is that server's failure. ENOBUFS and ENOMEM while writing a request are waited out. Ruled out: ENETUNREACH as the machine's own always: a zone without a route would then never be left.

--- a/cartdeal/agent/discovery.py
+++ b/cartdeal/agent/discovery.py
@@ -13,6 +13,7 @@
 
 from cartdeal.agent.configuration import Fault, ServerList, address
 from cartdeal.agent.connection import Connection, Malformed
+from cartdeal.agent.system_errors import is_silence
 
 PATH = "/registry/instances"
 LIST_LIMIT = 1 << 20  # bytes of the longest list, or line of one
@@ -86,10 +87,10 @@
             self.follow()
         except gevent.GreenletExit:
             reason = ""
-        except TimeoutError:
-            reason = SILENT
         except UNUSABLE as trouble:
             reason = str(trouble) or repr(trouble)  # no reason would mean that it was let go
+            if isinstance(trouble, OSError) and is_silence(trouble):
+                reason = SILENT
         except Exception:
             log.exception("watch died")
         watch = gevent.getcurrent()
@@ -142,8 +143,8 @@
                     has_stood = True
                 if stream.ended:
                     return
-        except TimeoutError:
-            if self.current_watch is watch:
+        except TimeoutError as trouble:
+            if self.current_watch is watch and is_silence(trouble):
                 self.next_call_is_short = has_stood
             raise
         finally:
@@ -251,8 +252,10 @@
     while (wait := due - monotonic()) > 0:
         try:
             return connection.receive(wait)
-        except TimeoutError:
-            pass  # the loop's own clock may lag, and its timers come early then
+        except TimeoutError as trouble:
+            if not is_silence(trouble):
+                raise
+            # Else the loop's own clock may lag, and its timers come early then.
     try:
         return connection.receive(0.0)
     except BlockingIOError:
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from math import inf
 from time import monotonic
 from typing import Annotated
 
@@ -15,6 +16,13 @@
 
 from cartdeal.agent.connection import Connection, ConnectionBudget, Malformed
 from cartdeal.agent.reducer import AttemptResult, FailureReason, Progress
+from cartdeal.agent.system_errors import (
+    RETRY_PAUSE,
+    is_no_route,
+    is_own_limit,
+    is_silence,
+    is_transient,
+)
 from cartdeal.settings import load_of, seconds
 from cartdeal.terms import Load
 
@@ -32,7 +40,7 @@
 
 
 class NoConnection(Exception):
-    """The agent's own limits leave no connection for an attempt."""
+    """The limits of the agent, or of its machine, leave no connection for an attempt."""
 
 
 class NotBegun(Exception):
@@ -76,6 +84,8 @@
         self.probe_path = b"/health/live" if self.reports.how == "none" else b"/stats"
         self.idle: dict[int, list[Connection]] = {}  # by server: another at its address inherits nothing
         self.out: dict[tuple[int, int], Attempt] = {}
+        self.heard_at = -inf  # when bytes last came from a server
+        self.no_route_since: dict[int, float] = {}  # by server: when the machine first knew no way to it
         budget.closers.append(self.close_oldest)
 
     # Effects
@@ -99,6 +109,7 @@
         gevent.spawn(self.run_probe, server, address)
 
     def close_idle(self, server: int):
+        self.no_route_since.pop(server, None)
         for connection in self.idle.pop(server, ()):
             connection.close()
 
@@ -167,7 +178,7 @@
             self.check(may_begin)
             attempt.connection = self.pooled(server, address)
             if attempt.connection is None:
-                attempt.connection = self.connect(address, deadline)
+                attempt.connection = self.connect(server, address, deadline)
                 self.check(may_begin)  # it may have taken seconds to come up; nothing yields from here on
             self.write(attempt, text(), deadline, may_begin)
             answer = self.read(attempt, deadline)
@@ -187,15 +198,15 @@
             )
         except gevent.GreenletExit:
             return attempt.end(FailureReason.GIVEN_UP)
-        except (TimeoutError, BlockingIOError):
-            return attempt.end(FailureReason.TIMED_OUT, "no answer in time")
         except NotBegun:
             return attempt.end(FailureReason.NOT_BEGUN, "no longer wanted there")
-        except NoConnection:
-            return attempt.end(FailureReason.NO_CONNECTION, "no descriptor to spare")
+        except NoConnection as trouble:
+            return attempt.end(FailureReason.NO_CONNECTION, str(trouble))
         except Malformed as trouble:
             return attempt.end(FailureReason.SPOILT, str(trouble))
         except OSError as trouble:
+            if is_silence(trouble):
+                return attempt.end(FailureReason.TIMED_OUT, "no answer in time")
             return attempt.end(FailureReason.BROKEN, str(trouble))
         except Exception as trouble:
             log.exception("attempt died", extra={"address": address})
@@ -217,18 +228,28 @@
         while rest:
             try:
                 rest = rest[sock.send(rest) :]
-            except BlockingIOError:
-                socket.wait_write(sock.fileno(), left(deadline))
+            except OSError as trouble:
+                self.wait_to_write(sock, trouble, deadline)
                 # The server begins with the last byte: one held up beyond a window must not come to it.
                 self.check(may_begin)
                 continue
             attempt.progress = Progress.PARTLY_WRITTEN if rest else Progress.WRITTEN
 
+    def wait_to_write(self, sock, trouble: OSError, deadline: float):
+        """Waits until a write that failed may succeed; raises what is no reason to wait."""
+        if isinstance(trouble, BlockingIOError):
+            socket.wait_write(sock.fileno(), left(deadline))
+        elif is_transient(trouble) and left(deadline):
+            gevent.sleep(min(RETRY_PAUSE, left(deadline)))
+        else:
+            raise trouble
+
     def read(self, attempt: Attempt, deadline: float):
         connection = attempt.connection
         while not connection.messages:
             if not connection.receive(left(deadline)) and not connection.messages:
                 return None
+            self.heard_at = monotonic()
             if connection.message.status >= 200:
                 attempt.progress = Progress.HEAD
         return connection.messages.pop(0)
@@ -253,27 +274,45 @@
         if not self.idle[server]:
             del self.idle[server]
 
-    def connect(self, address: str, deadline: float) -> Connection:
+    def connect(self, server: int, address: str, deadline: float) -> Connection:
         # No room is no crash: such an attempt never ran, and the balancer finds it another way or turns it
         # back.
         if not self.budget.acquire(self.budget.most // SPARE):
-            raise NoConnection
-        host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            raise NoConnection("no descriptor to spare")
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(min(self.connect_limit, left(deadline)))
+            host, _, port = address.rpartition(":")
             sock.connect((host, int(port)))
-        except BaseException:
-            sock.close()
+        except BaseException as trouble:
+            if sock:
+                sock.close()
             self.budget.release()
+            if isinstance(trouble, OSError) and self.is_own_trouble(server, trouble):
+                raise NoConnection(str(trouble)) from trouble
             raise
+        self.no_route_since.pop(server, None)
         connection = Connection(
             sock, True, lambda connection: self.budget.release(), budget=self.budget, until_close=True
         )
         connection.address = address
         return connection
 
+    def is_own_trouble(self, server: int, trouble: OSError) -> bool:
+        """Whether it says nothing of the server.
+
+        Where the machine knows no way there, its own network may be away. Once another server is heard since,
+        it is not: the failure is then like that of a server that can't be reached.
+        """
+        if not is_no_route(trouble):
+            return is_own_limit(trouble)
+        if self.heard_at > self.no_route_since.setdefault(server, monotonic()):
+            del self.no_route_since[server]
+            return False
+        return True
+
     def pool(self, server: int, connection: Connection):
         connection.since = monotonic()
         connection.release_body_memory()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -130,7 +130,7 @@
     upstream, address = deployment.agent.upstream, deployment.servers[0].address
     request = Request(2, True, 0, 0, 1.0, False, b"POST", b"/once/x", b"late", b"", b"", b"")
     if kept:
-        connection = upstream.connect(address, monotonic() + 1.0)
+        connection = upstream.connect(0, address, monotonic() + 1.0)
         upstream.pool(0, connection)
         connection.since -= 1.0
     deadline = monotonic() + left
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -1,10 +1,12 @@
 """What an agent does when a system call fails as Linux documents; docs/crossings.md has the table."""
 
 import errno
+from time import monotonic
 
 import pytest
+from gevent import socket
 
-from cartdeal.agent.upstream import UpstreamPool
+from cartdeal.agent.upstream import NoConnection, UpstreamPool
 from tests.scene import Deployment, until
 from tests.system_faults import OWN_LIMITS, SystemFaults
 
@@ -41,7 +43,7 @@
 
 
 @pytest.mark.parametrize("error", OWN_LIMITS, ids=errno.errorcode.get)
-@pytest.mark.parametrize("call", ["socket"])
+@pytest.mark.parametrize("call", ["socket", "connect"])
 def test_descriptor_that_can_not_be_had_is_not_lost(deployment, faults, call, error):
     client = deployment.connect()
     assert deployment.ask("/health/ready", connection=client)[0] == 200
@@ -65,6 +67,41 @@
     assert all(each.circuit_closed and not each.failures.amount for each in servers)
 
 
+def test_server_without_a_route_fails_once_another_one_was_heard(deployment, monkeypatch):
+    """A part of the network is away: the machine's own is not."""
+    pool: UpstreamPool = deployment.agent.upstream
+    away, near = deployment.servers[0].address, deployment.servers[1].address
+    cut = {tuple(deployment.servers[0].socket.getsockname())}
+    connect = socket.socket.connect
+
+    def unreachable(sock, address):
+        if tuple(address) in cut:
+            raise OSError(errno.ENETUNREACH, "Network is unreachable")
+        return connect(sock, address)
+
+    monkeypatch.setattr(socket.socket, "connect", unreachable)
+    for _ in range(3):
+        with pytest.raises(NoConnection):
+            pool.connect(0, away, monotonic() + 1.0)
+    pool.heard_at = monotonic()  # as after an answer
+    with pytest.raises(OSError, match="unreachable"):
+        pool.connect(0, away, monotonic() + 1.0)
+    with pytest.raises(NoConnection):  # counted anew
+        pool.connect(0, away, monotonic() + 1.0)
+    cut.clear()
+    pool.connect(0, away, monotonic() + 1.0).close()
+    pool.connect(1, near, monotonic() + 1.0).close()
+    assert not pool.no_route_since
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get)
+def test_request_that_finds_no_buffer_is_written_when_there_is_one(deployment, faults, error):
+    faults.fail("send", error, times=5, only=to_servers(deployment))
+    status, body = deployment.ask("/once/x", "POST", b"body")
+    assert status == 200 and body.endswith(b" body") and len(deployment.seen()) == 1
+    assert faults.counts["send"] == 5
+
+
 def test_connection_that_the_system_gave_up_is_broken_and_not_slow(deployment, faults):
     """ETIMEDOUT is a TimeoutError in Python: TCP gave up, and other connections there have ended or will."""
     ended = []
