--- a/tests/system_faults.py
+++ b/tests/system_faults.py
@@ -31,7 +31,9 @@
 
 @dataclass
 class Plan:
-    """Calls that fail: the next `times` of them, or each by `chance`. `only(sock)` says on which sockets."""
+    """Calls that fail: the next `times` of them, or each by `chance`. `only(sock)` says on which sockets, or
+    descriptors where the call is `write`.
+    """
 
     errors: tuple[int, ...]
     times: float
@@ -90,7 +92,7 @@
         return played
 
     def write(self, descriptor, data):
-        self.check("write")
+        self.check("write", descriptor)
         return os.write(descriptor, data)
 
     def poll(self):
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -92,7 +92,7 @@
     assert set(reducer.indices) == {b"s%d" % n for n in first}
 
 
-def generous_list() -> bytes:
+def generous_list(entries_in_all: int) -> bytes:
     """Names of 253 characters, as long as a host's name may be, and far indented."""
     entries = [
         {
@@ -104,13 +104,14 @@
             "capacity_hint": 0.12345678901234567,
             "boot_ms": 1764650000123.456,
         }
-        for n in range(MANY)
+        for n in range(entries_in_all)
     ]
     return json.dumps({"rev": 1 << 53, "all": True, "targets": entries}, indent=8).encode()
 
 
-def test_an_indented_list_of_1024_entries_comes_through_by_watch_and_by_call():
-    text, heard = generous_list(), []
+@pytest.mark.parametrize("entries", [MANY, 3200])
+def test_an_indented_list_comes_through_by_watch_and_by_call(entries):
+    text, heard = generous_list(entries), []
 
     def serve(sock, _):
         if b"watch=1" in sock.recv(65536):
@@ -129,7 +130,7 @@
         until(lambda: len(heard) == 2)
     client.watch(False)
     server.stop(0)
-    assert [(len(found.entries), fresh) for _, found, fresh in heard] == [(MANY, False), (MANY, True)]
+    assert [(len(found.entries), fresh) for _, found, fresh in heard] == [(entries, False), (entries, True)]
 
 
 # Agents
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -7,7 +7,7 @@
 from gevent import socket
 
 from cartdeal.agent.upstream import NoConnection, UpstreamPool
-from tests.scene import Deployment, until
+from tests.scene import Deployment, answered, until, worded
 from tests.system_faults import OWN_LIMITS, SystemFaults
 
 MANY = 200  # more failures than there are connections
@@ -112,3 +112,34 @@
     assert deployment.ask("/once/x", "POST")[0] == 502
     (result,) = ended
     assert result.outcome().value == "reset" and "timed out" in result.detail
+
+
+# The application's side
+
+
+@pytest.mark.parametrize("error", [errno.ECONNABORTED, *OWN_LIMITS], ids=errno.errorcode.get)
+def test_clients_that_wait_at_the_door_come_in_though_accept_fails_between(deployment, faults, error):
+    """One of them is gone, or there is no descriptor for a moment: the others are not to be reset."""
+    agent = deployment.agent.front
+    deployment.agent.works[3].kill()  # it lets nobody in any more: they stay in the queue
+    waiting = [deployment.connect() for _ in range(3)]
+    for client in waiting:
+        client.sock.sendall(worded())
+    faults.fail("accept", error, times=2, only=lambda sock: sock is agent.listener)
+    agent.stop_accepting()
+    assert [answered(client)[0] for client in waiting] == [200] * 3
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get)
+def test_answer_that_finds_no_buffer_is_written_when_there_is_one(deployment, faults, error):
+    client, front = deployment.connect(), deployment.agent.front
+    assert deployment.ask("/health/ready", connection=client)[0] == 200
+    faults.fail("write", error, times=2, only=lambda number: number in descriptors(front.clients))
+    faults.fail("send", error, times=3, only=lambda sock: sock.fileno() in descriptors(front.clients))
+    for _ in range(3):
+        assert deployment.ask("/once/x", "POST", b"body", connection=client)[0] == 200
+    assert faults.counts["write"] == 2 and faults.counts["send"] == 3
+
+
+def descriptors(clients):
+    return [each.sock.fileno() for each in clients]
