Let in who waits at the door, and answer, though a system call fails for a moment

Cause: stop_accepting took each OSError of accept for an empty queue, and its close reset those behind; Connection.push closed on any error but EAGAIN; a read that found no memory ended its connection; lists of over 1 MiB were refused. Change: only EAGAIN ends the queue; others are passed over, and waited out for 0.2 s where the machine has no descriptor. ENOBUFS and ENOMEM while writing an answer or reading are tried again. A poll that fails closes nobody. bound() reports the errors of socket and listen, too. LIST_LIMIT is 4 MiB. The same mistake elsewhere: a fault in admit that is no OSError leaked its place, too.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -9,12 +9,15 @@
 import os
 import re
 import select
+from time import monotonic
 
 import gevent
 import httptools
 from gevent import socket
 from gevent.event import Event
 
+from cartdeal.agent.system_errors import RETRY_PAUSE, is_transient
+
 HEAD_LIMIT = 16384  # the longest head of a message, with the interim ones ahead of it
 FRAMING = 8  # bytes round one byte of a body that a chunked message may take at most
 BODY_LIMIT = 65536  # the longest body
@@ -22,6 +25,8 @@
 BODY_COPIES = 3  # times that a long body is held at most: in the buffer, by itself, with its head again
 DENSE = 32  # lines in one read, from which on it may hold many messages and is parsed by pieces ...
 PIECE = 512  # ... of so many bytes
+LEAST_WAIT = 0.001  # seconds; none would make the socket not wait at all
+READ_RETRIES = 2.0  # seconds for which a read that finds no memory is tried again
 WRITE_TIMEOUT = 10.0  # how long a peer may take to accept what is left of an answer
 MOST_DISCARDED = 1 << 20  # bytes that are thrown away behind the end of our sending, at most
 
@@ -62,13 +67,18 @@
     """An address of the agent's own can't be had."""
 
 
-def bound(kind: int, address: tuple[str, int]):
-    sock = socket.socket(socket.AF_INET, kind)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+def bound(kind: int, address: tuple[str, int], backlog: int = 0):
+    """A socket at the address; with a `backlog`, one that listens. Raises BindError where it can't be had."""
+    sock = None
     try:
+        sock = socket.socket(socket.AF_INET, kind)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
+        if backlog:
+            sock.listen(backlog)
     except OSError as trouble:
-        sock.close()
+        if sock:
+            sock.close()
         raise BindError(f"can't listen on {address[0]}:{address[1]}: {trouble.strerror}") from None
     return sock
 
@@ -158,7 +168,7 @@
                 gevent.sleep(0)
             return bool(count) and not (self.half_closed and self.discarded > MOST_DISCARDED)
         self.fit()
-        count = self.take_unparsed() or self.sock.recv_into(self.view[self.kept :])
+        count = self.take_unparsed() or self.read_into(self.view[self.kept :], wait)
         if not count and self.mid_message and self.unbounded:
             self.on_message_complete()  # an orderly end; a reset has raised, and is none
         if not count or self.discards_input:
@@ -180,6 +190,17 @@
             raise Malformed(431, f"a head of over {HEAD_LIMIT} bytes")
         return True
 
+    def read_into(self, view, wait: float | None) -> int:
+        """Reads once there are bytes; again after a pause, while the system has no memory for it."""
+        due = monotonic() + (READ_RETRIES if wait is None else min(wait, READ_RETRIES))
+        while True:
+            try:
+                return self.sock.recv_into(view)
+            except OSError as trouble:
+                if not is_transient(trouble) or monotonic() >= due:
+                    raise
+            gevent.sleep(RETRY_PAUSE)
+
     def take_unparsed(self) -> int:
         """Moves the next piece of what was read before to where a read would put it; gives its length."""
         piece, self.unparsed = self.unparsed[:PIECE], self.unparsed[PIECE:]
@@ -348,10 +369,9 @@
         if not self.writer:
             try:
                 data = data[os.write(self.sock.fileno(), data) :]
-            except BlockingIOError:
-                pass
-            except OSError:
-                return self.close()
+            except OSError as trouble:
+                if not (isinstance(trouble, BlockingIOError) or is_transient(trouble)):
+                    return self.close()
         self.unsent += data
         if self.unsent and not self.writer:
             self.writer = gevent.spawn(self.write_rest)
@@ -362,8 +382,7 @@
         try:
             while self.unsent:
                 data, self.unsent = self.unsent, b""
-                self.sock.settimeout(WRITE_TIMEOUT)
-                self.sock.sendall(data)
+                self.write_all(data)
         except OSError:
             return self.close()
         finally:
@@ -371,6 +390,18 @@
         if self.ends_after_write:
             self.half_close()
 
+    def write_all(self, data: bytes):
+        """Writes it as the peer takes it. Raises TimeoutError where that takes over WRITE_TIMEOUT."""
+        rest, due = memoryview(data), monotonic() + WRITE_TIMEOUT
+        while rest:
+            self.sock.settimeout(max(LEAST_WAIT, due - monotonic()))
+            try:
+                rest = rest[self.sock.send(rest) :]
+            except OSError as trouble:
+                if not is_transient(trouble) or monotonic() >= due:
+                    raise
+                gevent.sleep(RETRY_PAUSE)
+
     def half_close(self):
         """Ends our sending, the one way to close on a peer that may still send.
 
@@ -397,10 +428,16 @@
         return self.polls(select.POLLRDHUP)  # with bytes unread before it, too
 
     def polls(self, event: int) -> bool:
-        """Whether the socket shows one of poll's events, or an error, now."""
-        look = select.poll()
-        look.register(self.sock, event)
-        return bool(look.poll(0))
+        """Whether the socket shows one of poll's events, or an error, now.
+
+        Where the system can't tell, there may be bytes, and the other side has not ended.
+        """
+        try:
+            look = select.poll()
+            look.register(self.sock, event)
+            return bool(look.poll(0))
+        except OSError:
+            return event == select.POLLIN
 
     def close(self):
         if not self.closed:
--- a/cartdeal/agent/discovery.py
+++ b/cartdeal/agent/discovery.py
@@ -16,7 +16,7 @@
 from cartdeal.agent.system_errors import is_silence
 
 PATH = "/registry/instances"
-LIST_LIMIT = 1 << 20  # bytes of the longest list, or line of one
+LIST_LIMIT = 4 << 20  # bytes of the longest list, or line of one: 3,200 entries with long names, indented
 # TCP does not tell that a service is gone. A watch has a whole line every 2 s, and what a silent one misses
 # counts as told 6 s after it fell silent. From its last line on, two calls have to fit into these: 3.0 of
 # silence, 0.75 for the longest first pause, 1.0 for a call that is accepted and not answered, 0.75 for the
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -24,6 +24,7 @@
 
 from cartdeal.agent.connection import Connection, ConnectionBudget, Malformed, bound
 from cartdeal.agent.reducer import Request
+from cartdeal.agent.system_errors import RETRY_PAUSE, is_own_limit
 from cartdeal.settings import REPEATS, Settings
 from cartdeal.terms import Repeat
 
@@ -33,6 +34,8 @@
 IDLE_TIMEOUT = 5.0  # how long a client's connection may stand idle
 LINGER_TIMEOUT = 0.5  # how long a client may go on sending, unread, after our side has ended
 LINGERING_DIVISOR = 8  # one in so many connections may be such a client's
+BACKLOG = 512  # connections that wait to be accepted
+LAST_ADMISSIONS = 0.2  # seconds for which those are let in at the end, though accepting them fails
 SWEEP_INTERVAL = 0.2  # seconds between looks for connections whose time is up
 UNIDENTIFIED_DIVISOR = 4  # one in so many connections may be an unidentified client's ...
 CLIENT_SHARE = 0.6  # ... and this share a client's, while there are idle ones to close; servers need the rest
@@ -158,8 +161,7 @@
         self.closing = False  # whether a client between requests is closed at once
         # The first closes what the others have half-closed.
         budget.closers += self.close_lingering, self.close_unidentified, self.close_idle, self.close_slowest
-        self.listener = bound(socket.SOCK_STREAM, config.listen)
-        self.listener.listen(512)
+        self.listener = bound(socket.SOCK_STREAM, config.listen, BACKLOG)
         self.port = self.listener.getsockname()[1]
 
     def accept(self):
@@ -175,7 +177,6 @@
             try:
                 self.admit()
             except OSError as trouble:
-                self.budget.release()
                 if self.taking:
                     log.warning("accept failed", extra={"reason": str(trouble)})
                     gevent.sleep(0.05)
@@ -183,10 +184,19 @@
             gevent.sleep(0)  # hundreds that connect at once wait for those that have asked
 
     def admit(self):
-        """Lets in the next who waits at the door; raises what the listener raises."""
-        sock, _ = self.listener.accept()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = ClientConnection(sock, self.closed, self.budget, self.linger)
+        """Lets in the next who waits at the door, in a place that was taken from the budget and is given back
+        should it fail. Raises what the system raises.
+        """
+        sock = None
+        try:
+            sock, _ = self.listener.accept()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = ClientConnection(sock, self.closed, self.budget, self.linger)
+        except BaseException:
+            if sock:
+                sock.close()
+            self.budget.release()
+            raise
         self.clients.add(client)
         self.unidentified[client] = None
         gevent.spawn(self.serve, client)
@@ -448,14 +458,24 @@
         """
         self.taking = False
         self.listener.settimeout(0.0)
-        while self.budget.acquire():
-            try:
-                self.admit()
-            except OSError:  # none is left
-                self.budget.release()
-                break
+        until = monotonic() + LAST_ADMISSIONS
+        while self.budget.acquire() and self.admit_last(until):
+            pass
         self.listener.close()
 
+    def admit_last(self, until: float) -> bool:
+        """Lets in one who waits; false where nobody does, or accepting fails and `until` is over."""
+        try:
+            self.admit()
+        except BlockingIOError:
+            return False
+        except OSError as trouble:
+            log.warning("accept failed", extra={"reason": str(trouble)})
+            if is_own_limit(trouble):
+                gevent.sleep(RETRY_PAUSE)
+            return monotonic() < until
+        return True
+
     def wait_empty(self, until: float):
         while (self.clients or self.lingering) and monotonic() < until:
             self.changed.clear()
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -6,6 +6,7 @@
 import pytest
 from gevent import socket
 
+from cartdeal.agent.connection import BindError, bound
 from cartdeal.agent.upstream import NoConnection, UpstreamPool
 from tests.scene import Deployment, answered, until, worded
 from tests.system_faults import OWN_LIMITS, SystemFaults
@@ -143,3 +144,45 @@
 
 def descriptors(clients):
     return [each.sock.fileno() for each in clients]
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get)
+def test_read_that_finds_no_memory_is_made_again(deployment, faults, error):
+    client, front = deployment.connect(), deployment.agent.front
+    assert deployment.ask("/health/ready", connection=client)[0] == 200
+    faults.fail("recv_into", error, times=3, only=lambda sock: sock.fileno() in descriptors(front.clients))
+    assert deployment.ask("/once/x", "POST", b"body", connection=client)[0] == 200
+    until(lambda: faults.counts["recv_into"] == 3)
+    faults.fail("recv_into", error, times=3, only=to_servers(deployment))
+    assert deployment.ask("/once/x", "POST", b"body", connection=client)[0] == 200
+    assert faults.counts["recv_into"] == 6
+
+
+def test_client_is_not_closed_where_the_system_can_not_tell_whether_it_has_asked(deployment, faults):
+    client = deployment.connect()
+    assert deployment.ask("/health/ready", connection=client)[0] == 200
+    faults.fail("poll", errno.ENOMEM)
+    assert not deployment.agent.front.close_idle()
+    assert deployment.ask("/once/x", "POST", b"body", connection=client)[0] == 200
+
+
+@pytest.mark.parametrize("call", ["socket", "bind", "listen"])
+@pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
+def test_address_that_can_not_be_had_is_told_with_its_reason(faults, call, kind):
+    faults.fail(call, errno.ENOBUFS)
+    if call == "listen" and kind == socket.SOCK_DGRAM:
+        return bound(kind, ("127.0.0.1", 0)).close()
+    with pytest.raises(BindError, match="127.0.0.1:0: No buffer space"):
+        bound(kind, ("127.0.0.1", 0), backlog=5 * (kind == socket.SOCK_STREAM))
+
+
+def test_fault_at_the_door_takes_no_place_from_the_budget(deployment, monkeypatch):
+    budget = deployment.agent.budget
+    used = budget.used
+    with monkeypatch.context() as broken:
+        broken.setattr("cartdeal.agent.front.ClientConnection", None)
+        for _ in range(5):
+            with pytest.raises(ConnectionError):
+                deployment.ask()
+    assert deployment.ask()[0] == 200
+    assert budget.used - used <= 2  # the client's and the server's
