--- a/tests/system_faults.py
+++ b/tests/system_faults.py
@@ -100,4 +100,5 @@
         return select.poll()
 
 
+PIPE_PAGE = 4096  # bytes of the smallest pipe
 OWN_LIMITS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
