Write the log only where it can be written at once, in a module of its own

Cause: logging wrote to the standard error by a call that blocks: a full pipe that nobody reads stopped the agent's only thread. RateLimitFilter moved there.

--- a/cartdeal/agent/start.py
+++ b/cartdeal/agent/start.py
@@ -8,14 +8,12 @@
 import os
 import signal
 import sys
-from math import inf
 from time import monotonic
 
 import gevent
 from gevent.event import Event
-from logfmter import Logfmter
 
-from cartdeal.agent import configuration
+from cartdeal.agent import configuration, log_output
 from cartdeal.agent.connection import BindError
 from cartdeal.agent.effects import Effects
 
@@ -31,36 +29,9 @@
 
 SIGNALS = signal.SIGHUP, signal.SIGTERM, signal.SIGINT  # those that it handles
 
-LINES = 20  # log lines of one kind a second
-
 log = logging.getLogger("cartdeal.agent")
 
 
-class RateLimitFilter(logging.Filter):
-    """What a peer does at full speed must not be logged at full speed. How many were left out is told later.
-
-    Kinds are the messages in the code, so there are few of them. Seconds are counted on the monotonic clock:
-    the wall clock, by which records are stamped, may be stepped back.
-    """
-
-    def __init__(self):
-        super().__init__()
-        self.kinds: dict[tuple, list] = {}  # since when, how many lines, how many left out
-
-    def filter(self, record) -> bool:
-        kind = self.kinds.setdefault((record.name, record.msg), [-inf, 0, 0])
-        now = monotonic()
-        if now >= kind[0] + 1.0:
-            kind[:2] = now, 0
-        kind[1] += 1
-        if kind[1] > LINES:
-            kind[2] += 1
-            return False
-        if kind[2]:
-            record.left_out, kind[2] = kind[2], 0
-        return True
-
-
 def lasts(settings) -> float:
     """How long an agent that is told to end goes on: clients wait longer than the platform may."""
     longest = min(LONGEST_WAIT, max(kind.timeout for kind in settings.request_classes))
@@ -93,12 +64,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, told_to_end.set)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    handler = logging.StreamHandler(sys.stderr)
-    handler.addFilter(RateLimitFilter())
-    handler.setFormatter(
-        Logfmter(keys=["at", "level", "in"], mapping={"at": "asctime", "level": "levelname", "in": "name"})
-    )
-    logging.basicConfig(handlers=[handler], level=logging.INFO)
+    log_output.configure()
     try:
         config = configuration.read()
         fleet = fleet_config(config)
--- a/tests/test_fleet_off.py
+++ b/tests/test_fleet_off.py
@@ -14,7 +14,8 @@
     cartdeal cartdeal.agent cartdeal.agent.configuration cartdeal.agent.connection cartdeal.agent.effects
     cartdeal.agent.front cartdeal.agent.reducer cartdeal.agent.discovery cartdeal.agent.upstream
     cartdeal.agent.start cartdeal.balancer cartdeal.settings cartdeal.terms cartdeal.watch_schedule
-    cartdeal.routing_state cartdeal.agent.start_times cartdeal.agent.system_errors""".split()
+    cartdeal.routing_state cartdeal.agent.start_times cartdeal.agent.system_errors
+    cartdeal.agent.log_output""".split()
 
 # Says what is imported once the agent serves.
 TOLD = (
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,7 +12,8 @@
 
 from cartdeal.agent.connection import BODY_LIMIT, Connection
 from cartdeal.agent.front import hashed
-from cartdeal.agent.start import ENDS, LINES, LONGEST_WAIT, RateLimitFilter, lasts
+from cartdeal.agent.log_output import LINES_PER_SECOND, RateLimitFilter
+from cartdeal.agent.start import ENDS, LONGEST_WAIT, lasts
 from cartdeal.settings import ClassSettings, Settings
 from cartdeal.terms import Load, Outcome
 from examples.toy import DiscoveryService, Server, answer
@@ -756,13 +757,13 @@
 
 def test_lines_of_one_kind_are_bounded_and_those_left_out_are_counted(monkeypatch):
     sparing, passed, now = RateLimitFilter(), [], [0.0]
-    monkeypatch.setattr("cartdeal.agent.start.monotonic", lambda: now[0])
+    monkeypatch.setattr("cartdeal.agent.log_output.monotonic", lambda: now[0])
     for place in range(1000):
         now[0] = 5.0 + place / 400
         record = logging.makeLogRecord({"name": "x", "msg": "refused"})
         if sparing.filter(record):
             passed.append(getattr(record, "left_out", 0))
-    assert len(passed) == 3 * LINES and sum(passed) == 2 * (400 - LINES)
+    assert len(passed) == 3 * LINES_PER_SECOND and sum(passed) == 2 * (400 - LINES_PER_SECOND)
     assert sparing.filter(logging.makeLogRecord({"name": "x", "msg": "ending"}))
 
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -10,8 +10,8 @@
 
 from cartdeal.agent import start_times
 from cartdeal.agent.configuration import ServerEntry, ServerList
+from cartdeal.agent.log_output import LINES_PER_SECOND, RateLimitFilter
 from cartdeal.agent.reducer import AttemptResult, FailureReason, Progress, Reducer, Request
-from cartdeal.agent.start import LINES, RateLimitFilter
 from cartdeal.agent.start_times import LONG_AGO, StartTimes
 from tests.scene import agent_config
 from tests.test_discovery import BEAT, LIST, World, server, told
@@ -95,15 +95,15 @@
 
 def test_log_lines_are_let_through_again_though_the_wall_clock_is_stepped_back(monkeypatch):
     now = [50.0]
-    monkeypatch.setattr("cartdeal.agent.start.monotonic", lambda: now[0])
+    monkeypatch.setattr("cartdeal.agent.log_output.monotonic", lambda: now[0])
     limit = RateLimitFilter()
 
     def let_through(created):
         return limit.filter(logging.makeLogRecord({"name": "x", "msg": "refused", "created": created}))
 
-    assert sum(let_through(WALL) for _ in range(2 * LINES)) == LINES
+    assert sum(let_through(WALL) for _ in range(2 * LINES_PER_SECOND)) == LINES_PER_SECOND
     now[0] += 1.5
-    assert sum(let_through(WALL - HOUR) for _ in range(2 * LINES)) == LINES
+    assert sum(let_through(WALL - HOUR) for _ in range(2 * LINES_PER_SECOND)) == LINES_PER_SECOND
 
 
 def test_age_of_a_server_is_right_by_right_clocks():
