--- a/cartdeal/agent/configuration.py
+++ b/cartdeal/agent/configuration.py
@@ -4,12 +4,14 @@
 must never guess around a wrong value: a fault names its key, what was found and what is wanted.
 """
 
+import errno
 import os
 from pathlib import Path
 
 import msgspec
 from msgspec import field
 
+from cartdeal.agent.system_errors import is_own_limit
 from cartdeal.settings import Settings
 
 Address = tuple[str, int]
@@ -20,6 +22,14 @@
     """A value of the configuration can't be used; the message names its key."""
 
 
+class Unreadable(Fault):
+    """The file can't be read; `is_passing`: for want of what the machine may have again in a moment."""
+
+    def __init__(self, path: str, trouble: OSError):
+        super().__init__(f"PROXY_CONFIG: found {path!r}, wanted a readable file ({trouble.strerror})")
+        self.is_passing = is_own_limit(trouble) or trouble.errno == errno.EIO
+
+
 class ServerEntry(msgspec.Struct):
     """One line of the server list, as the discovery service writes it."""
 
@@ -181,7 +191,7 @@
     try:
         text = Path(path).read_bytes()
     except OSError as trouble:
-        raise Fault(f"PROXY_CONFIG: found {path!r}, wanted a readable file ({trouble.strerror})") from None
+        raise Unreadable(path, trouble) from None
     return decode(text, path, environment)
 
 
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -23,6 +23,8 @@
 
 LONGEST_WORDS = 256
 RESERVED = 32  # descriptors for the discovery service, the agents, the log and the loop itself
+REREADS = 8  # times that a new configuration is read again ...
+REREAD_PAUSE = 0.25  # ... after so many seconds, where the machine could not read it
 AGAIN = 0.05  # pause before what died of a fault begins again
 OWN_MEMORY = 18.0  # megabytes that the agent holds before its first connection, with room to spare
 PER_CONNECTION = 0.03  # megabytes for one with its request or attempt, but for a long body
@@ -87,10 +89,9 @@
         """Takes over what a new configuration changes; one that can't be used changes nothing."""
         if self.admission:
             self.admission.reread()
-        try:
-            config = configuration.read()
-        except configuration.Fault as fault:
-            return log.error("configuration refused", extra={"reason": str(fault)})
+        config = self.read_configuration()
+        if config is None:
+            return
         log.info(
             "configuration read",
             extra={
@@ -103,6 +104,17 @@
             self.discovery.move(config.discovery)
             self.dispatch("discovery_moved")
 
+    def read_configuration(self):
+        """None where it can't be used. Waits while the machine lacks what it needs to read the file."""
+        for last in (False,) * REREADS + (True,):
+            try:
+                return configuration.read()
+            except configuration.Fault as fault:
+                log.error("configuration refused", extra={"reason": str(fault)})
+                if last or not (isinstance(fault, configuration.Unreadable) and fault.is_passing):
+                    return None
+            gevent.sleep(REREAD_PAUSE)
+
     def endure(self, work):
         """What runs as long as the agent does: an agent that is deaf since a fault would look alive."""
         while True:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -1,13 +1,18 @@
 """What an agent does when a system call fails as Linux documents; docs/crossings.md has the table."""
 
 import errno
+import json
+import os
+from pathlib import Path
 from time import monotonic
 
 import pytest
 from gevent import socket
 
+from cartdeal.agent import configuration
 from cartdeal.agent.connection import BindError, bound
 from cartdeal.agent.upstream import NoConnection, UpstreamPool
+from examples.toy import DiscoveryService
 from tests.scene import Deployment, answered, until, worded
 from tests.system_faults import OWN_LIMITS, SystemFaults
 
@@ -186,3 +191,27 @@
                 deployment.ask()
     assert deployment.ask()[0] == 200
     assert budget.used - used <= 2  # the client's and the server's
+
+
+@pytest.mark.parametrize("error, reads", [(errno.ENFILE, 3), (errno.EIO, 3), (errno.EACCES, 1)])
+def test_new_configuration_is_read_again_where_the_machine_could_not(
+    deployment, monkeypatch, tmp_path, error, reads
+):
+    """What the new discovery service has to tell counts 4 s after the signal, whatever the machine lacked."""
+    service, tries, read = DiscoveryService(), [], Path.read_bytes
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(deployment.config | {"discovery": service.address}))
+
+    def refuse_twice(path):
+        tries.append(path)
+        if len(tries) < 3:
+            raise OSError(error, os.strerror(error))
+        return read(path)
+
+    monkeypatch.setenv("PROXY_CONFIG", str(file))
+    monkeypatch.setattr(configuration.Path, "read_bytes", refuse_twice)
+    monkeypatch.setattr("cartdeal.agent.effects.REREAD_PAUSE", 0.001)
+    deployment.agent.reread()
+    assert len(tries) == reads
+    assert (deployment.agent.config.discovery[1] == service.socket.getsockname()[1]) == (reads == 3)
+    service.stop()
