--- a/cartdeal/lab/added.py
+++ b/cartdeal/lab/added.py
@@ -123,11 +123,11 @@
             self.connection = Connection(sock, answers=True)
         begun = monotonic()
         self.connection.sock.sendall(head)
-        while not self.connection.whole:
+        while not self.connection.messages:
             if not self.connection.receive(5.0):
                 self.connection.close()
                 return 0, monotonic() - begun
-        answer = self.connection.whole.pop()
+        answer = self.connection.messages.pop()
         took = monotonic() - begun
         if not answer.keep_alive:
             self.connection.close()
