Bound what one peer can make the agent hold, and let others have their turn

Found by reading each path for what a peer decides alone. Causes and changes: - A client that reads no answers and goes on asking: each was served, its answer gathered (13 MB for 200). The next request is now begun when the answer before it is written, and reading stops at 16 as for other requests sent ahead. - Datagrams, or a watch, without a pause: a read of what is there does not yield. Others have a turn after 16 reads. - Timers of answered requests stayed for as long as their client said it waits (60 s): from 4,096 on they are dropped. - Ids that are remembered are bounded by number (32,768, twice) and not by time alone. - A fault on a client's connection closed it without an answer: what was read is answered 503, one that was forwarded 502. - A closed standard error: the log could be written into a connection that has descriptor 2. 0 to 2 are opened on /dev/null first. - The door, with no room, looks again after 0.2 s: with time there may be one to close. Slow clients are closed last of all.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -120,8 +120,13 @@
         budget: ConnectionBudget | None = None,
         until_close: bool = False,
         on_half_close=lambda connection: None,
+        on_written=lambda connection: None,
     ):
-        """`until_close`: whether an answer with neither length nor chunks is good, up to an orderly close."""
+        """`until_close`: whether an answer with neither length nor chunks is good, up to an orderly close.
+
+        `on_written` is called each time when all that the socket did not take at once has been written.
+        """
+        self.on_written = on_written
         self.sock, self.answers, self.on_close, self.body_limit = sock, answers, on_close, body_limit
         self.on_half_close = on_half_close
         self.budget, self.claimed = budget, 0  # bytes of the room for long bodies ...
@@ -194,6 +199,7 @@
         """Reads once there are bytes; again after a pause, while the system has no memory for it."""
         due = monotonic() + (READ_RETRIES if wait is None else min(wait, READ_RETRIES))
         while True:
+            self.sock.settimeout(wait)  # a greenlet that writes may have set another one meanwhile
             try:
                 return self.sock.recv_into(view)
             except OSError as trouble:
@@ -389,6 +395,8 @@
             self.writer = None
         if self.ends_after_write:
             self.half_close()
+        else:
+            self.on_written(self)
 
     def write_all(self, data: bytes):
         """Writes it as the peer takes it. Raises TimeoutError where that takes over WRITE_TIMEOUT."""
@@ -430,8 +438,11 @@
     def polls(self, event: int) -> bool:
         """Whether the socket shows one of poll's events, or an error, now.
 
-        Where the system can't tell, there may be bytes, and the other side has not ended.
+        Where the system can't tell, there may be bytes, and the other side has not ended. A closed connection
+        has ended.
         """
+        if self.closed:
+            return True
         try:
             look = select.poll()
             look.register(self.sock, event)
--- a/cartdeal/agent/discovery.py
+++ b/cartdeal/agent/discovery.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from itertools import count
 from time import monotonic
 
 import gevent
@@ -29,6 +30,8 @@
 CALL_TIMEOUT = 3.0  # seconds that a call may take to the head of its answer, a list to its end
 SHORT_CALL_TIMEOUT = 1.0  # the same for the call after a watch that fell silent, or after a move
 
+READS_A_TURN = 16  # reads of a watch before others have their turn
+
 SILENT = "silent"  # why a watch failed, where nothing came in time
 
 UNUSABLE = (OSError, Malformed, Fault, msgspec.MsgspecError, UnicodeError)  # what may be wrong with a call
@@ -133,7 +136,11 @@
         after = 0 if self.first_at_address else self.version()
         stream = ListStream(self.call(f"{PATH}?watch=1&after={after}", timeout), due)
         try:
-            while stream.receive():
+            for reads in count(1):
+                if not stream.receive():
+                    return
+                if not reads % READS_A_TURN:
+                    gevent.sleep(0)  # a read of what is there does not yield
                 for text in stream.whole_texts():
                     # Lines of one that was let go may be read before its end: they would go on top of the
                     # other service's list, and leave its version to ask after.
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -6,7 +6,8 @@
 
 import logging
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
+from itertools import count
 from time import monotonic, time
 
 import gevent
@@ -23,6 +24,8 @@
 
 LONGEST_WORDS = 256
 RESERVED = 32  # descriptors for the discovery service, the agents, the log and the loop itself
+MOST_DUE = 4096  # timers from which on those of requests that are over are dropped
+DATAGRAMS_A_TURN = 16  # that are read before others have their turn
 REREADS = 8  # times that a new configuration is read again ...
 REREAD_PAUSE = 0.25  # ... after so many seconds, where the machine could not read it
 AGAIN = 0.05  # pause before what died of a fault begins again
@@ -37,7 +40,8 @@
     def __init__(self, config, fleet=None):
         """`fleet`: what the fleet's file says; None without a fleet."""
         self.config = config
-        self.due = []
+        self.due = []  # a heap of timers: when, in which order they were set, the event and what it is about
+        self.most_due = MOST_DUE
         self.order = 0
         self.sooner = Event()
         self.later, self.playing, self.admission = deque(), False, None
@@ -49,6 +53,7 @@
         self.budget = ConnectionBudget(*room_for(config.limits, self.admission))
         self.front = FrontServer(config, self.dispatch, lambda: self.reducer.ready, self.budget)
         self.upstream = UpstreamPool(config, self.dispatch, self.budget, self.may_begin)
+        self.budget.closers.append(self.front.close_slowest)  # last of all: it costs a request
         self.discovery = DiscoveryClient(config, self.dispatch, lambda: self.reducer.version)
         self.datagrams = self.open_datagrams()
         self.verbs = {
@@ -190,9 +195,21 @@
     def set(self, at: float, event: str, about: int):
         self.order += 1
         heappush(self.due, (at, self.order, event, about))
+        if len(self.due) > self.most_due:
+            self.drop_reminders()
         if self.due[0][1] == self.order:
             self.sooner.set()
 
+    def drop_reminders(self):
+        """Drops those of requests that are over.
+
+        A client may say that it waits for a minute, and be answered at once, many times a second.
+        """
+        requests = self.reducer.requests
+        self.due = [each for each in self.due if each[2] != "overdue" or each[3] in requests]
+        heapify(self.due)
+        self.most_due = max(MOST_DUE, 2 * len(self.due))
+
     def run_due(self):
         while self.due and self.due[0][0] <= monotonic():
             _, _, event, about = heappop(self.due)
@@ -214,7 +231,9 @@
 
     def hear(self):
         senders = {address: place for place, address in enumerate(self.config.neighbours)}
-        while True:
+        for read in count(1):
+            if not read % DATAGRAMS_A_TURN:
+                gevent.sleep(0)  # a read of what is there does not yield
             text, address = self.datagrams.recvfrom(LONGEST_WORDS + 1)
             if address in senders and len(text) <= LONGEST_WORDS:
                 self.dispatch("told", senders[address], text)
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -58,6 +58,9 @@
     503: b"Service Unavailable",
     505: b"HTTP Version Not Supported",
 }
+CLOSE = b"Connection: close\r\n"
+FAULT = Malformed(503, "a fault of the agent")  # in place of an answer to a request that went nowhere ...
+FAULT_AFTER_ATTEMPT = Malformed(502, "a fault of the agent")  # ... or to one that may have run
 WAIT = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)(m|u)")
 UNITS = {b"m": 1e3, b"u": 1e6}
 SESSION = re.compile(rb"(?:^|[;,])\s*sid=([^;,]*)")
@@ -72,8 +75,15 @@
     All times are seconds of the monotonic clock.
     """
 
-    def __init__(self, sock, on_close, budget, on_half_close):
-        super().__init__(sock, answers=False, on_close=on_close, budget=budget, on_half_close=on_half_close)
+    def __init__(self, sock, on_close, budget, on_half_close, on_written):
+        super().__init__(
+            sock,
+            answers=False,
+            on_close=on_close,
+            budget=budget,
+            on_half_close=on_half_close,
+            on_written=on_written,
+        )
         self.request, self.waits, self.keep_alive, self.asked = 0, False, True, False
         self.refused = None  # what came that ends the connection once all before it is answered
         self.since = monotonic()  # when it came, was last asked on or answered, or was half-closed
@@ -160,7 +170,7 @@
         self.taking, self.ending, self.changed = True, False, Event()
         self.closing = False  # whether a client between requests is closed at once
         # The first closes what the others have half-closed.
-        budget.closers += self.close_lingering, self.close_unidentified, self.close_idle, self.close_slowest
+        budget.closers += self.close_lingering, self.close_unidentified, self.close_idle
         self.listener = bound(socket.SOCK_STREAM, config.listen, BACKLOG)
         self.port = self.listener.getsockname()[1]
 
@@ -173,7 +183,9 @@
             # Without a descriptor to spare, clients wait in the listening queue until one is free.
             while not self.budget.acquire():
                 self.budget.freed.clear()
-                self.budget.freed.wait()
+                self.budget.freed.wait(
+                    SWEEP_INTERVAL
+                )  # with time a client may become one that is closed for room
             try:
                 self.admit()
             except OSError as trouble:
@@ -191,7 +203,7 @@
         try:
             sock, _ = self.listener.accept()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = ClientConnection(sock, self.closed, self.budget, self.linger)
+            client = ClientConnection(sock, self.closed, self.budget, self.linger, self.begin)
         except BaseException:
             if sock:
                 sock.close()
@@ -213,9 +225,23 @@
             pass
         except Exception:
             log.exception("connection died")
+            self.end_after_fault(client)
         finally:
             self.disconnect(client)
 
+    def end_after_fault(self, client: ClientConnection):
+        """A fault of the agent's own on a connection: what was read on it is answered all the same."""
+        answers = [FAULT_AFTER_ATTEMPT] * client.waits
+        answers += [FAULT] * (len(client.messages) + client.mid_message)
+        client.messages.clear()
+        if client.waits:
+            client.waits = False
+            self.dispatch("client_disconnected", client.request)
+        for trouble in answers[:-1]:
+            client.push(response(trouble.status, str(trouble).encode(), b""))
+        for trouble in answers[-1:]:
+            client.push(response(trouble.status, str(trouble).encode(), CLOSE), True)
+
     def receive(self, client: ClientConnection) -> bool:
         try:
             return self.wait_for_turn(client) and client.receive(None)
@@ -271,8 +297,12 @@
         return count + client.mid_message
 
     def begin(self, client: ClientConnection):
-        """Takes the next request that has come whole, once the one before it is answered."""
-        while client.messages and not (client.waits or client.ends_after_write or client.closed):
+        """Takes the next request that has come whole, once the one before it is answered and its answer is
+        written: those that a client does not read would else fill the memory.
+        """
+        while client.messages and not (
+            client.waits or client.writer or client.ends_after_write or client.closed
+        ):
             if client.peer_ended():
                 # Its end would be read behind this request, and an attempt ordered by then still begins.
                 client.messages.clear()
@@ -295,9 +325,7 @@
         if client.refused and not (client.waits or client.closed or client.ends_after_write):
             client.since = monotonic()
             self.unidentified[client] = None
-            client.push(
-                response(client.refused.status, str(client.refused).encode(), b"Connection: close\r\n"), True
-            )
+            client.push(response(client.refused.status, str(client.refused).encode(), CLOSE), True)
 
     def identify(self, client: ClientConnection):
         client.asked = True
@@ -369,7 +397,7 @@
         # What was read before the end is answered; what has come and was not read yet is read and answered.
         more = client.messages or client.mid_message or client.refused
         last = not client.keep_alive or self.ending and not (more or client.unread())
-        client.push(response(status, body, extra + b"Connection: close\r\n" * last), last)
+        client.push(response(status, body, extra + CLOSE * last), last)
 
     def linger(self, client: ClientConnection):
         """Half-closed: it counts against the budget until it is closed, and no longer as a client."""
--- a/cartdeal/agent/log_output.py
+++ b/cartdeal/agent/log_output.py
@@ -20,6 +20,15 @@
 STANDARD_ERROR = 2
 
 
+def reserve_standard_descriptors():
+    """Opens those of 0 to 2 that are closed: a connection that had one of them would be written the log."""
+    for number in range(STANDARD_ERROR + 1):
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)  # the lowest number that is free
+
+
 class RateLimitFilter(logging.Filter):
     """What a peer does at full speed must not be logged at full speed. How many were left out is told later.
 
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -19,6 +19,7 @@
 
 STATES = {"active": State.READY, "leaving": State.DRAINING}
 ID_MEMORY = 5.0  # seconds for which a request's id is known, twice that at most
+MOST_IDS = 1 << 15  # that are known at least, twice that at most; less long than ID_MEMORY where more come
 MOST_ZONES = 64  # that are told apart, those of the settings among them
 OVERDUE = 0.02  # how long after its deadline a request that the balancer forgot is answered all the same
 
@@ -188,7 +189,7 @@
         if request.id in self.ids or request.id in self.previous_ids:
             # Whose it is can't be told: its answer, or its end, would be another request's.
             return self.effects.append(("refuse", client, 409, "an X-Request-ID that was used just now"))
-        if self.now > self.ids_until:
+        if self.now > self.ids_until or len(self.ids) >= MOST_IDS:
             self.previous_ids, self.ids = self.ids, set()
             self.ids_until = self.now + ID_MEMORY
         self.ids.add(request.id)
--- a/cartdeal/agent/start.py
+++ b/cartdeal/agent/start.py
@@ -57,6 +57,7 @@
 
 
 def main() -> int:
+    log_output.reserve_standard_descriptors()
     # Before the port is bound: from then on connections are taken, and a signal that killed would reset them.
     # What comes while it starts is handled when it serves; nothing before `wait` yields to the loop.
     told_to_end, agents = Event(), []
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -1,10 +1,14 @@
 """What a client, a neighbour or discovery may make the agent hold, or keep it from doing, has a bound."""
 
+import sys
+
 import gevent
 import pytest
-from gevent import socket
+from gevent import socket, subprocess
 
+from cartdeal.agent import discovery, effects, reducer
 from cartdeal.agent.connection import BODY_LIMIT
+from cartdeal.agent.discovery import ListStream
 from cartdeal.agent.front import MOST_PIPELINED
 from tests.scene import Deployment, until, worded
 
@@ -70,3 +74,63 @@
     assert deployment.ask()[0] == 200
     assert not flooded.ready()
     flooded.kill()
+
+
+def test_discovery_without_a_pause_leaves_the_agent_its_other_work(deployment, monkeypatch):
+    reads = []
+
+    class Flooded(ListStream):
+        def receive(self):
+            reads.append(self)
+            if len(reads) > Flood.MOST:
+                raise gevent.GreenletExit
+            return True
+
+        def whole_texts(self):
+            return []
+
+    monkeypatch.setattr(discovery, "ListStream", Flooded)
+    watch = gevent.spawn(deployment.agent.discovery.follow)
+    assert deployment.ask()[0] == 200
+    assert not watch.ready()
+    watch.kill()
+
+
+def test_timers_of_requests_that_are_over_do_not_gather(deployment, monkeypatch):
+    monkeypatch.setattr(effects, "MOST_DUE", 50)
+    deployment.agent.most_due = 50
+    client = deployment.connect()
+    for _ in range(300):
+        assert deployment.ask(connection=client, X_Timeout="60000m")[0] == 200
+        assert len(deployment.agent.due) <= 60
+    client.sock.sendall(worded("/once/x?do=wait", "POST", X_Timeout="60000m"))
+    until(lambda: deployment.agent.reducer.requests)
+    (number,) = deployment.agent.reducer.requests
+    deployment.agent.drop_reminders()
+    assert [each[2:] for each in deployment.agent.due if each[2] == "overdue"] == [("overdue", number)]
+    deployment.servers[0].released.set()
+
+
+def test_ids_that_are_remembered_are_bounded_in_number(deployment, monkeypatch):
+    monkeypatch.setattr(reducer, "MOST_IDS", 20)
+    client, memory = deployment.connect(), deployment.agent.reducer
+    for number in range(100):
+        assert deployment.ask(connection=client, X_Request_ID=f"id-{number}")[0] == 200
+        assert len(memory.ids) + len(memory.previous_ids) <= 40
+    assert deployment.ask(connection=client, X_Request_ID="id-95")[0] == 409
+
+
+@pytest.mark.parametrize("closed", [(2,), (0, 1, 2), (0,)])
+def test_closed_standard_descriptors_are_never_a_connections(tmp_path, closed):
+    """The log goes to descriptor 2, whoever has it."""
+    told = (
+        "import os, sys\n"
+        f"for number in {closed}: os.close(number)\n"
+        "from cartdeal.agent import log_output\n"
+        "log_output.reserve_standard_descriptors()\n"
+        "import socket\n"
+        "number = socket.socket().fileno()\n"
+        f"os.write(os.open({str(tmp_path / 'found')!r}, os.O_CREAT | os.O_WRONLY), b'%d' % number)\n"
+    )
+    subprocess.run([sys.executable, "-c", told], check=False)
+    assert int((tmp_path / "found").read_text()) > 2
