--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -156,6 +156,7 @@
         self.half_closed = False  # whether our sending has ended
         self.discarded = 0  # bytes that came since and were thrown away
         self.closed = False
+        self.broken = False  # whether the other side took no more of what was written
         self.since = 0.0  # when it became idle, for its owner
 
     def receive(self, wait: float | None) -> bool:
@@ -377,6 +378,7 @@
                 data = data[os.write(self.sock.fileno(), data) :]
             except OSError as trouble:
                 if not (isinstance(trouble, BlockingIOError) or is_transient(trouble)):
+                    self.broken = True
                     return self.close()
         self.unsent += data
         if self.unsent and not self.writer:
@@ -390,6 +392,7 @@
                 data, self.unsent = self.unsent, b""
                 self.write_all(data)
         except OSError:
+            self.broken = True
             return self.close()
         finally:
             self.writer = None
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -19,6 +19,7 @@
 from cartdeal.agent.connection import ConnectionBudget, bound
 from cartdeal.agent.discovery import DiscoveryClient
 from cartdeal.agent.front import FrontServer
+from cartdeal.agent.metrics import REPORT_EVERY, Metrics
 from cartdeal.agent.reducer import Reducer
 from cartdeal.agent.upstream import UpstreamPool
 
@@ -49,10 +50,14 @@
             from cartdeal.agent.admission import AdmissionControl
 
             self.admission = AdmissionControl(config, fleet, self.after)
-        self.reducer = Reducer(config, monotonic(), time(), self.admission and self.admission.longest)
+        self.metrics = Metrics()
+        longest_requests = self.admission and self.admission.longest
+        self.reducer = Reducer(config, monotonic(), time(), longest_requests, self.metrics)
         self.budget = ConnectionBudget(*room_for(config.limits, self.admission))
-        self.front = FrontServer(config, self.dispatch, lambda: self.reducer.ready, self.budget)
-        self.upstream = UpstreamPool(config, self.dispatch, self.budget, self.may_begin)
+        self.front = FrontServer(
+            config, self.dispatch, lambda: self.reducer.ready, self.budget, self.connection_closed
+        )
+        self.upstream = UpstreamPool(config, self.dispatch, self.budget, self.may_begin, self.attempt_begins)
         self.budget.closers.append(self.front.close_slowest)  # last of all: it costs a request
         self.discovery = DiscoveryClient(config, self.dispatch, lambda: self.reducer.version)
         self.datagrams = self.open_datagrams()
@@ -70,13 +75,21 @@
             "remind": self.remind,
             "tell": self.tell,
             "note": self.note,
+            "log": self.log,
+            "violation": self.violation,
         }
         if self.admission:
             self.verbs |= self.admission.verbs | {"withhold": self.withhold}
 
     def start(self):
         self.carry_out()
-        works = [self.keep_time, self.upstream.sweep, self.front.sweep, self.front.accept]
+        works = [
+            self.keep_time,
+            self.upstream.sweep,
+            self.front.sweep,
+            self.front.accept,
+            self.report_metrics,
+        ]
         works += [self.hear] * bool(self.datagrams)
         self.works = [gevent.spawn(self.endure, work) for work in works]
         if self.admission:
@@ -184,6 +197,17 @@
         self.reducer.now = max(self.reducer.now, monotonic())
         return self.reducer.may_begin(request, attempt, server)
 
+    def attempt_begins(self, request: int, attempt: int, server: int, told: float):
+        """Called by an attempt as its first byte goes: it is counted, and held against the rules."""
+        self.reducer.attempt_begins(request, attempt, server, told)
+        self.carry_out()
+
+    def connection_closed(self, reason: str, unanswered: int, peer_ended: bool):
+        """A client's connection is closed; `unanswered`: requests of which something was read on it."""
+        self.metrics.count("clients_closed_" + reason)
+        self.reducer.monitor.connection_closed(unanswered, peer_ended)
+        self.carry_out()
+
     # Timers
 
     def wake(self, token: int, at: float):
@@ -247,6 +271,22 @@
     def note(self, text: str):
         log.info("note", extra={"text": text})
 
+    def log(self, message: str, fields: dict):
+        log.info(message, extra=fields)
+
+    def violation(self, fields: dict):
+        log.error("invariant violated", extra=fields)
+
+    def report_metrics(self):
+        while True:
+            gevent.sleep(REPORT_EVERY)
+            self.log_metrics()
+
+    def log_metrics(self):
+        counts = self.metrics.report()
+        if counts:
+            log.info("metrics", extra=counts)
+
 
 def room_for(limits, admission=None) -> tuple[int, int]:
     """Connections, and bytes for long bodies; the fleet's share of both is the gate's."""
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -16,6 +16,7 @@
 import hashlib
 import logging
 import re
+from enum import StrEnum
 from time import monotonic
 
 import gevent
@@ -59,6 +60,9 @@
     505: b"HTTP Version Not Supported",
 }
 CLOSE = b"Connection: close\r\n"
+NO_ROOM = Malformed(503, "no room")
+AGENT_ENDS = Malformed(503, "the agent ends")
+OVERDUE = Malformed(408, "the rest of the request did not come in time")
 FAULT = Malformed(503, "a fault of the agent")  # in place of an answer to a request that went nowhere ...
 FAULT_AFTER_ATTEMPT = Malformed(502, "a fault of the agent")  # ... or to one that may have run
 WAIT = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)(m|u)")
@@ -69,6 +73,17 @@
 log = logging.getLogger("cartdeal.front")
 
 
+class EndReason(StrEnum):
+    """Why a client's connection ended."""
+
+    PEER = "by_peer"  # the client ended it, or asked for it
+    REFUSED = "refused"
+    OVERDUE = "overdue"
+    ROOM = "for_room"
+    AGENT_ENDS = "agent_ends"
+    FAULT = "fault"
+
+
 class ClientConnection(Connection):
     """A connection of the application; while it `waits`, `request` is the one that it waits for.
 
@@ -92,6 +107,8 @@
         self.reading_limit = READING_LIMIT  # ... and how long the whole of it may take
         self.unread_since = None  # from when on bytes may have lain unread; None: all was read
         self.turn_came = Event()  # set when one of `messages` was taken
+        self.peer_has_ended = False  # whether the other side closed or broke the connection
+        self.end_reason = EndReason.PEER
 
     def receive(self, wait: float | None) -> bool:
         more = super().receive(wait)
@@ -156,7 +173,9 @@
 
 
 class FrontServer:
-    def __init__(self, config, dispatch, ready, budget: ConnectionBudget):
+    def __init__(self, config, dispatch, ready, budget: ConnectionBudget, on_closed):
+        """`on_closed(reason, unanswered, peer_has_ended)` is called for each connection that is closed."""
+        self.on_closed = on_closed
         self.settings: Settings = config.settings
         self.dispatch, self.ready, self.budget = dispatch, ready, budget
         self.request_classes = {
@@ -221,8 +240,9 @@
                     # What is answered at once may come without a pause: a read of bytes that are there
                     # does not yield, and nobody else would be served.
                     gevent.sleep(0)
+            client.peer_has_ended = True
         except OSError:
-            pass
+            client.peer_has_ended = True
         except Exception:
             log.exception("connection died")
             self.end_after_fault(client)
@@ -231,6 +251,7 @@
 
     def end_after_fault(self, client: ClientConnection):
         """A fault of the agent's own on a connection: what was read on it is answered all the same."""
+        client.end_reason = EndReason.FAULT
         answers = [FAULT_AFTER_ATTEMPT] * client.waits
         answers += [FAULT] * (len(client.messages) + client.mid_message)
         client.messages.clear()
@@ -240,6 +261,7 @@
         for trouble in answers[:-1]:
             client.push(response(trouble.status, str(trouble).encode(), b""))
         for trouble in answers[-1:]:
+            client.refused = trouble
             client.push(response(trouble.status, str(trouble).encode(), CLOSE), True)
 
     def receive(self, client: ClientConnection) -> bool:
@@ -269,11 +291,20 @@
         """From here on nothing that comes is read; what came whole before is still answered."""
         log.info("refused", extra={"status": trouble.status, "reason": str(trouble)})
         client.refused, client.discards_input = trouble, True
+        if client.end_reason is EndReason.PEER:
+            client.end_reason = EndReason.REFUSED
 
-    def end_with(self, client: ClientConnection, trouble: Malformed):
-        """The one answer to a request that was read in part and is read no further."""
-        self.refuse(client, trouble)
-        self.begin(client)
+    def end(self, client: ClientConnection, reason: EndReason, trouble: Malformed):
+        """The one way in which the agent ends a connection on which it could go on.
+
+        A request that was read in part has `trouble` for its answer first.
+        """
+        client.end_reason = reason
+        if client.is_writing:
+            self.refuse(client, trouble)
+            self.begin(client)
+        else:
+            client.half_close()
 
     def answer_unusable(self, client: ClientConnection, trouble: Malformed):
         """A whole request that can't be taken ends its connection; those read behind it are rejected."""
@@ -304,6 +335,7 @@
             client.waits or client.writer or client.ends_after_write or client.closed
         ):
             if client.peer_ended():
+                client.peer_has_ended = True
                 # Its end would be read behind this request, and an attempt ordered by then still begins.
                 client.messages.clear()
                 break
@@ -322,7 +354,8 @@
                 continue
             client.waits = True
             self.dispatch("taken", client, request)
-        if client.refused and not (client.waits or client.closed or client.ends_after_write):
+        refused_last = client.refused and not (client.waits or client.messages)
+        if refused_last and not (client.closed or client.ends_after_write):
             client.since = monotonic()
             self.unidentified[client] = None
             client.push(response(client.refused.status, str(client.refused).encode(), CLOSE), True)
@@ -410,6 +443,8 @@
         self.changed.set()
 
     def closed(self, client: ClientConnection):
+        unanswered = client.waits + len(client.messages) + (client.mid_message and not client.refused)
+        self.on_closed(client.end_reason, unanswered, client.peer_has_ended or client.broken)
         self.clients.discard(client)
         self.unidentified.pop(client, None)
         self.lingering.pop(client, None)
@@ -431,12 +466,12 @@
             if not client.is_lingering and (client.messages or client.unread()):
                 continue
             if not client.is_writing:
-                client.half_close()
+                self.end(client, EndReason.ROOM, NO_ROOM)
                 return True
             in_the_middle = in_the_middle or client
         if in_the_middle is None:
             return False
-        self.end_with(in_the_middle, Malformed(503, "no room"))
+        self.end(in_the_middle, EndReason.ROOM, NO_ROOM)
         return True
 
     def close_slowest(self) -> bool:
@@ -446,20 +481,20 @@
         slowest = min(slow, key=lambda each: each.began_at, default=None)
         if slowest is None:
             return False
-        self.end_with(slowest, Malformed(503, "no room"))
+        self.end(slowest, EndReason.ROOM, NO_ROOM)
         return True
 
     def close_idle(self) -> bool:
         idle = (client for client in self.clients if client.asked and client.is_between_requests())
         for client in sorted(idle, key=lambda client: client.since):
             if not client.unread():
-                client.half_close()
+                self.end(client, EndReason.ROOM, NO_ROOM)
                 return True
         return False
 
     def close_between(self):
         for client in [each for each in self.clients if each.is_between_requests() and not each.unread()]:
-            client.half_close()
+            self.end(client, EndReason.AGENT_ENDS, AGENT_ENDS)
 
     def sweep(self):
         while True:
@@ -472,10 +507,8 @@
         for client in [each for each in (*self.clients, *self.lingering) if each.overdue(now)]:
             if client.is_lingering:
                 client.close()
-            elif client.is_writing:
-                self.end_with(client, Malformed(408, "the rest of the request did not come in time"))
             else:
-                client.half_close()
+                self.end(client, EndReason.OVERDUE, OVERDUE)
         if self.closing:
             self.close_between()
 
@@ -519,9 +552,8 @@
     def finish(self):
         """Closes whoever is left. An exit would do so over unread bytes, and reset the last answers."""
         for client in [*self.clients, *self.lingering]:
-            if client.is_writing:
-                self.end_with(client, Malformed(503, "the agent ends"))
-            client.half_close()
+            if not client.is_lingering:
+                self.end(client, EndReason.AGENT_ENDS, AGENT_ENDS)
             client.close()
 
 
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -13,6 +13,8 @@
 from typing import NamedTuple
 
 from cartdeal.agent.configuration import AgentConfiguration, ServerList
+from cartdeal.agent.invariants import Invariant, InvariantMonitor, Place
+from cartdeal.agent.metrics import Metrics
 from cartdeal.agent.start_times import StartTimes
 from cartdeal.balancer import Balancer
 from cartdeal.terms import Group, Listing, Load, Outcome, Repeat, RequestClass, State
@@ -104,8 +106,13 @@
     def __init__(self, client, request: Request, deadline: float):
         self.client, self.request, self.deadline = client, request, deadline
         self.attempts, self.out = 0, 0
+        self.last_outcome: Outcome | None = None
         self.chosen: dict[int, KnownServer] = {}  # by attempt that is out: what the list said of its server
 
+    def ended_as(self) -> str:
+        """How its last attempt that has ended did."""
+        return self.last_outcome.value if self.last_outcome else "none"
+
 
 class EarlierAttempt(NamedTuple):
     """An earlier attempt, at another agent, that may have run: others go to its group, before `until`."""
@@ -144,12 +151,15 @@
         now: float,
         wall: float,
         longest_requests: tuple[float, ...] | None = None,
+        metrics: Metrics | None = None,
     ):
         """`longest_requests`: by request class, the seconds that a request may last where admission control
         keeps idempotency records; None: there is none.
         """
         self.config, self.now, self.longest_requests = config, now, longest_requests
         self.start_times = StartTimes(now, wall)
+        self.metrics = metrics or Metrics()
+        self.monitor = InvariantMonitor(self.report_violation)
         self.effects = []
         self.count = 0
         self.end_at = inf  # when the agent is to have answered all
@@ -170,6 +180,7 @@
         self.balancer = Balancer(
             self, replace(settings, request_classes=settings.request_classes + non_idempotent)
         )
+        self.balancer.on_transition = self.report_transition
         if not settings.must_ask:
             # The balancer asks for no list that comes unasked; here it comes by a watch that the host begins.
             self.watch()
@@ -188,6 +199,7 @@
     def taken(self, client, request: Request):
         if request.id in self.ids or request.id in self.previous_ids:
             # Whose it is can't be told: its answer, or its end, would be another request's.
+            self.metrics.count("requests_with_a_known_id")
             return self.effects.append(("refuse", client, 409, "an X-Request-ID that was used just now"))
         if self.now > self.ids_until or len(self.ids) >= MOST_IDS:
             self.previous_ids, self.ids = self.ids, set()
@@ -202,6 +214,8 @@
         )
         number, deadline = self.count, min(self.now + wait, self.end_at)
         pending = self.requests[number] = PendingRequest(client, request, deadline)
+        self.metrics.count("requests")
+        self.monitor.request_taken(number, request.id, self.effective_class(request), deadline)
         self.effects.append(("begun", client, number))
         self.effects.append(("remind", number, deadline + OVERDUE))
         pending.waits = self.longest_requests is not None
@@ -211,13 +225,17 @@
             return self.route(number, pending)
         self.effects.append(("admit", number, request, deadline))
 
+    def class_index(self, request: Request) -> int:
+        """The balancer's class of it: those that may run once at most come behind all others."""
+        return request.request_class + request.non_idempotent * len(self.config.settings.request_classes)
+
+    def effective_class(self, request: Request) -> RequestClass:
+        return self.balancer.settings.request_classes[self.class_index(request)]
+
     def route(self, number: int, pending: PendingRequest):
         request = pending.request
-        request_class = request.request_class + request.non_idempotent * len(
-            self.config.settings.request_classes
-        )
         self.balancer.taken(
-            number, request_class, request.tenant, request.key, pending.deadline, request.repeat
+            number, self.class_index(request), request.tenant, request.key, pending.deadline, request.repeat
         )
 
     def admitted(self, number: int, earlier_attempts: tuple):
@@ -240,9 +258,19 @@
         pending = self.requests.get(number)
         if pending and pending.client is not None:
             pending.client = None
+            self.metrics.count("clients_gone")
+            self.log("client gone", pending.request, attempts=pending.attempts, out=pending.out)
+            self.monitor.client_gone(number)
             self.drop(number, pending)
             self.balancer.client_disconnected(number)
 
+    def attempt_begins(self, number: int, attempt: int, server: int, told: float):
+        """The first byte of an attempt goes now; `told`: the seconds for which its server hears it is due."""
+        where = self.balancer.servers.get(server)
+        place = where and Place(where.zone, where.cell, where.state is State.READY)
+        self.metrics.count("attempts")
+        self.monitor.attempt_begins(number, attempt, place, told, self.now)
+
     def attempt_ended(
         self, number: int, server: int, attempt: int, result: AttemptResult, load: Load | None = None
     ):
@@ -250,7 +278,9 @@
         if pending is None:
             return
         pending.out -= 1
-        outcome = result.outcome()
+        outcome = pending.last_outcome = result.outcome()
+        self.metrics.count("attempts_" + outcome.name.lower())
+        self.monitor.attempt_ended(number, attempt, outcome.never_ran)
         if pending.chosen.pop(attempt, None) and outcome.never_ran:
             pending.sent -= 1  # else its client would be left in doubt for nothing once its time is over
         pending.ran = pending.ran or not outcome.never_ran
@@ -378,6 +408,9 @@
         pending = self.requests[request]
         attempt, pending.attempts = pending.attempts, pending.attempts + 1
         pending.out += 1
+        if attempt:
+            self.metrics.count("retries")
+            self.log("request retried", pending.request, attempt=attempt, after=pending.ended_as())
         deadline = min(deadline, pending.deadline) if deadline else pending.deadline
         if self.longest_requests is not None:
             where = self.balancer.servers[server]
@@ -463,12 +496,26 @@
         """The one final answer; whatever comes for the request after it is passed over."""
         pending = self.requests.get(number)
         if pending and pending.client is not None:
+            self.metrics.count(f"answers_{status}")
+            self.monitor.request_answered(number, status, self.now)
+            if status != 200:
+                left = round(pending.deadline - self.now, 3)
+                self.log(
+                    "request not served",
+                    pending.request,
+                    status=status,
+                    attempts=pending.attempts,
+                    after=pending.ended_as(),
+                    left_s=left,
+                )
             self.effects.append(("answer", pending.client, status, kind, body, wait))
             pending.client = None
             self.drop(number, pending)
 
     def drop(self, number: int, pending: PendingRequest):
         over = pending.client is None and not pending.out and self.requests.pop(number, None)
+        if over:
+            self.monitor.forget(number)
         if over and self.longest_requests is not None:
             ran = "never" if not pending.ran else "answered" if pending.served else "maybe"
             self.effects.append(("settled", number, ran))
@@ -496,3 +543,22 @@
 
     def note(self, text: str):
         self.effects.append(("note", text))
+
+    # What the log and the counts say
+
+    def log(self, message: str, request: Request, **fields):
+        name = self.config.settings.request_classes[request.request_class].name
+        self.effects.append(
+            ("log", message, {"request": request.id.decode("latin-1"), "request_class": name} | fields)
+        )
+
+    def report_transition(self, what: str, server, why: str):
+        """A circuit, or the zone that the agent stands on, changed. `server`: None where it is about none."""
+        self.metrics.count(what.replace(" ", "_"))
+        known = server and self.servers.get(server.index)
+        self.effects.append(("log", what, {"server": known.address if known else "", "reason": why}))
+
+    def report_violation(self, invariant: Invariant, id: bytes, detail: str):
+        self.metrics.count(f"violations_{invariant}")
+        fields = {"invariant": str(invariant), "request": id.decode("latin-1"), "reason": detail}
+        self.effects.append(("violation", fields))
--- a/cartdeal/agent/start.py
+++ b/cartdeal/agent/start.py
@@ -98,5 +98,6 @@
     gevent.sleep(0)
     agent.leave_fleet(end_at)
     agent.front.finish()
+    agent.log_metrics()
     log.info("ended", extra={"pending": agent.reducer.pending_count})
     return 0
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -73,9 +73,11 @@
 
 
 class UpstreamPool:
-    def __init__(self, config, dispatch, budget: ConnectionBudget, may_begin):
-        """`may_begin(request, attempt, server)`: whether an attempt may still send its first byte."""
-        self.may_begin = may_begin
+    def __init__(self, config, dispatch, budget: ConnectionBudget, may_begin, begins):
+        """`may_begin(request, attempt, server)`: whether an attempt may still send its first byte;
+        `begins(request, attempt, server, told)` is called as it goes, with the seconds that it tells.
+        """
+        self.may_begin, self.begins = may_begin, begins
         permissions = config.settings.permissions
         self.dispatch, self.budget = dispatch, budget
         self.connect_limit = seconds(permissions.connect_limit) or CONNECT
@@ -124,12 +126,19 @@
     # Greenlets
 
     def run_attempt(self, attempt, request_number, attempt_number, server, address, request, deadline):
+        def text():
+            wait = int(left(deadline) * 1000)
+            if not wait:
+                raise TimeoutError
+            self.begins(request_number, attempt_number, server, wait / 1000)
+            return written(request, wait)
+
         result = self.exchange(
             attempt,
             server,
             address,
             deadline,
-            lambda: written(request, deadline),
+            text,
             lambda: self.may_begin(request_number, attempt_number, server),
         )
         del self.out[request_number, attempt_number]
@@ -333,10 +342,8 @@
     return max(0.0, deadline - monotonic())
 
 
-def written(request, deadline: float) -> bytes:
-    wait = int(left(deadline) * 1000)
-    if not wait:
-        raise TimeoutError
+def written(request, wait: int) -> bytes:
+    """A request as a server is sent it; `wait`: the milliseconds for which the agent waits."""
     head = b"%b %b HTTP/1.1\r\nHost: backend\r\nX-Request-ID: %b\r\nX-Timeout: %dm\r\n" % (
         request.method,
         request.path,
--- a/cartdeal/balancer.py
+++ b/cartdeal/balancer.py
@@ -42,6 +42,8 @@
 
 
 class Balancer:
+    on_transition = staticmethod(lambda what, server, why: None)  # told of circuits and zones that change
+
     def __init__(self, host, settings):
         self.host, self.settings, self.pooled, now = host, settings, settings.pooled, host.now
         # Agents that each begin with a whole server's room for themselves jam it together at the start.
@@ -479,6 +481,8 @@
                 for each, more in zip(request.tally[1:], (now <= request.target_at, took, 1.0), strict=True):
                     each.add(now, more)
             if server.silent or server.half_open and server.completions.amount > 1.5:
+                if not server.circuit_closed:
+                    self.on_transition("circuit closed", server, "answered")
                 server.circuit_closed, server.silent, server.half_open = True, False, False
                 server.failures = Fading(FADING_SPAN, now)
             if server.limit < 1.0 and not self.pooled:
@@ -523,6 +527,8 @@
 
     def open_circuit(self, server, now):
         if server.circuit_closed or server.half_open:
+            if server.circuit_closed:
+                self.on_transition("circuit opened", server, "silent" if server.silent else "failures")
             server.backoff = 0.5 if server.circuit_closed else server.backoff
             server.circuit_closed = server.half_open = False
             self.delay_retry(server, now)
@@ -579,9 +585,12 @@
             self.choose_zone(now)
 
     def choose_zone(self, now):
+        before = self.zone_place
         self.zone_place = next(
-            (p for p, zone in enumerate(self.zone_order) if self.zone_passes(zone)), self.zone_place
+            (p for p, zone in enumerate(self.zone_order) if self.zone_passes(zone)), before
         )
+        if self.zone_place != before:
+            self.on_transition("zone changed", None, f"from place {before} to {self.zone_place}")
         self.failback_at = now + FAILBACK
         self.wake_by(self.failback_at)
 
--- a/cartdeal/emulator/judge.py
+++ b/cartdeal/emulator/judge.py
@@ -40,6 +40,7 @@
         self.changed = {}  # server -> when the discovery service knew
         self.sent = defaultdict(deque)  # cold server -> (when, work)
         self.calls = defaultdict(deque)  # cold server -> when requests came from agents told of its start
+        self.agents_said = []  # violations that the agents' own checks found
         self.told_start = {}  # (agent, server) -> the start that the agent was told of, in seconds
         shares = sum(each.share for each in world.request_class)
         self.mean_work = sum(each.share * each.work_s for each in world.request_class) / shares
--- a/cartdeal/emulator/stand.py
+++ b/cartdeal/emulator/stand.py
@@ -105,6 +105,12 @@
     def note(self, text):
         pass
 
+    def log(self, message, fields):
+        pass
+
+    def violation(self, fields):
+        self.fleet.judge.agents_said.append(fields)
+
     def taken(self, request_id, request_class, key, wait, repeat):
         request = Request(
             request_class,
@@ -135,6 +141,7 @@
         fleet.judge.attempt_sent(
             self.clock.now, self.number, attempt.name, count, address, fleet.world.zones[attempt.server.zone]
         )
+        self.reducer.attempt_begins(number, count, index, 0.0)
         self.connect(attempt, end)
 
     def connect(self, attempt, end, probe=False):
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -217,6 +217,23 @@
     assert all(each.words and each.about for each in found)
 
 
+@pytest.mark.parametrize(
+    "breakage, invariant",
+    [
+        (SentAgain, "no_second_effect"),
+        (RejectedInDoubt, "no_unsafe_rejection"),
+    ],
+)
+def test_agents_find_a_planted_fault_by_their_own_checks(breakage, invariant):
+    """By a record of their own, whatever their decisions believe."""
+    assert invariant in {each["invariant"] for each in play(HARD, make=breakage).judge.agents_said}
+
+
+@pytest.mark.parametrize("world", [HARD, COLD])
+def test_agents_that_keep_the_rules_find_nothing_by_their_own_checks(world):
+    assert not play(world).judge.agents_said
+
+
 def test_a_run_is_cut_down_to_what_its_violation_needs():
     left = cut_down(worlds.made(HARD), 5, DrainIgnored)
     assert left.violation.rule == 3 and len(left.arrivals) <= 3
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -28,7 +28,7 @@
         for verb, *args in self.reducer.effects:
             if verb == "send_attempt":
                 self.at[tuple(args[:2])] = args[2]
-            if verb not in ("note", "begun", "wake"):
+            if verb not in ("note", "log", "begun", "wake"):
                 words = " ".join(self.show(each) for each in args)
                 self.lines.append(f"         {verb} {words}".rstrip())
         self.reducer.effects.clear()
