--- a/cartdeal/cli.py
+++ b/cartdeal/cli.py
@@ -141,6 +141,26 @@
     sys.exit(report.play(lambda seed: play.Rig(found, seed, run).play(), seeds))
 
 
+@main.command()
+@click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1 if left out")
+@click.option("--agents", default=24, help="processes of agents")
+@click.option("--seconds", default=30.0, help="for which clients ask")
+@click.option("--logs", type=click.Path(file_okay=False), help="a folder for the agents' logs")
+def soak(seeds, agents, seconds, logs):
+    """Play overlapping troubles on sockets, with real agents; exit status 1 if a rule was broken."""
+    from cartdeal.rig.soak import play
+
+    interruptible()
+    broken = 0
+    for seed in seeds:
+        played = play.Soak(seed, agents, seconds).play()
+        click.echo(played.report())
+        broken += len(played.judge.violations)
+        if logs:
+            play.keep_logs(played, logs)
+    sys.exit(1 if broken else 0)
+
+
 @main.group()
 def lab():
     """Experiments: variants of a world on the same seeds."""
--- /dev/null
+++ b/cartdeal/rig/faulty_agent.py
@@ -0,0 +1,41 @@
+"""Runs an agent whose system calls fail now and then, and whose wall clock may be wrong.
+
+AGENT_FAULTS: a seed, the chance of a failure for each call, and how far ahead the wall clock is, in seconds:
+`7,0.002,-3600`. For soaks; an agent in service never runs it.
+"""
+
+import errno
+import os
+import signal
+import sys
+
+if __name__ == "__main__":
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
+
+from cartdeal.agent import effects, start  # noqa: E402
+from cartdeal.rig.system_faults import SystemFaults  # noqa: E402
+
+FAULTS = "AGENT_FAULTS"
+ERRORS = {  # of each call, those that leave its connection as it was
+    "accept": (errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
+    "connect": (errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENETUNREACH, errno.ECONNREFUSED),
+    "send": (errno.ENOBUFS, errno.ENOMEM),
+    "recv_into": (errno.ENOBUFS, errno.ENOMEM),
+    "write": (errno.ENOBUFS, errno.ENOMEM),
+    "poll": (errno.ENOMEM,),
+}
+
+
+def install(text: str):
+    seed, chance, wall_ahead = text.split(",")
+    faults = SystemFaults(int(seed))
+    faults.install(setattr)
+    for call, errors in ERRORS.items():
+        faults.fail(call, *errors, chance=float(chance))
+    wall_clock = effects.time
+    effects.time = lambda: wall_clock() + float(wall_ahead)
+
+
+if __name__ == "__main__":
+    install(os.environ[FAULTS])
+    sys.exit(start.main())
--- /dev/null
+++ b/cartdeal/rig/soak/stand_ins.py
@@ -0,0 +1,156 @@
+"""The servers and the discovery service that agents of a soak talk to; they speak the published protocol."""
+
+import json
+from enum import StrEnum
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from cartdeal.agent.connection import Connection, Malformed
+from cartdeal.rig.soak.relay import BACKLOG, HOST, reset
+
+EMPTY_LINE_EVERY = 2.0  # seconds
+WORK = 0.01  # seconds that a server takes over a request
+SLOW_WORK = 0.4
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class Mood(StrEnum):
+    """How a server behaves."""
+
+    GOOD = "good"
+    HANGS = "hangs"
+    RESETS = "resets"
+    HALF = "half"  # half an answer, then the end
+    ERRORS = "errors"
+    FULL = "full"
+    SLOW = "slow"
+    SPOILT = "spoilt"  # an answer that can't be read, and the connection stays
+
+
+class TimedConnection(Connection):
+    """Knows when the first byte of each request came."""
+
+    def __init__(self, sock, now, **more):
+        super().__init__(sock, answers=False, **more)
+        self.now, self.began_at = now, 0.0
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        self.began_at = self.now()
+
+
+class Listener:
+    def __init__(self, now):
+        self.now, self.open = now, set()
+        self.socket = socket.socket()
+        self.socket.bind((HOST, 0))
+        self.socket.listen(BACKLOG)
+        self.target = self.socket.getsockname()
+        self.work = gevent.spawn(self.accept)
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.socket.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = TimedConnection(sock, self.now, on_close=self.open.discard)
+            self.open.add(connection)
+            gevent.spawn(self.serve, connection)
+
+    def serve(self, connection):
+        try:
+            while not connection.closed and connection.receive(None):
+                while connection.messages and not connection.closed:
+                    self.play(connection, connection.messages.pop(0))
+        except (OSError, Malformed):
+            pass
+        finally:
+            connection.close()
+
+    def stop(self):
+        self.work.kill()
+        self.socket.close()
+        for connection in list(self.open):
+            connection.close()
+
+
+class Server(Listener):
+    def __init__(self, name, zone, now, judge):
+        super().__init__(now)
+        self.name, self.zone, self.judge = name, zone, judge
+        self.mood, self.seen = Mood.GOOD, 0
+
+    def play(self, connection, message):
+        if message.path.startswith(b"/health"):
+            return connection.push(answer(200, b""))
+        self.seen += 1
+        id = message.headers.get(b"x-request-id", b"").decode()
+        told = float(message.headers.get(b"x-timeout", b"0m")[:-1]) / 1e3
+        if self.mood is Mood.FULL:
+            return connection.push(answer(503, b"", b"X-Not-Processed: 1\r\n"))
+        self.judge.reached(self.name, id, connection.began_at, self.now(), told)
+        if self.mood is Mood.HANGS:
+            return None
+        gevent.sleep(SLOW_WORK if self.mood is Mood.SLOW else WORK)
+        if connection.closed:
+            return None
+        good = answer(200, id.encode() + b" " + message.body)
+        if self.mood is Mood.RESETS:
+            return reset(connection.sock)
+        if self.mood is Mood.HALF:
+            return connection.push(good[:-3], True)
+        if self.mood is Mood.SPOILT:
+            return connection.push(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\none")
+        return connection.push(answer(500, b"") if self.mood is Mood.ERRORS else good)
+
+
+class Discovery(Listener):
+    def __init__(self, now):
+        self.entries, self.version, self.watches = {}, 1, set()
+        self.down, self.stopped = False, Event()
+        super().__init__(now)
+
+    def play(self, connection, message):
+        if self.down:
+            return connection.push(answer(503, b""), True)
+        text = self.text(list(self.entries.values()), True)
+        if b"watch=1" not in message.path:
+            return connection.push(answer(200, text))
+        connection.push(HEAD + chunk(text + b"\n"))
+        self.watches.add(connection)
+        return gevent.spawn(self.beat, connection)
+
+    def beat(self, connection):
+        while not connection.closed:
+            gevent.sleep(EMPTY_LINE_EVERY)
+            connection.push(chunk(b"\n"))
+        self.watches.discard(connection)
+
+    def text(self, entries, whole):
+        return json.dumps({"rev": self.version, "all": whole, "targets": entries}).encode()
+
+    def tell(self, *entries):
+        self.version += 1
+        for entry in entries:
+            self.entries[entry["uid"]] = entry
+            if entry["state"] == "left":
+                del self.entries[entry["uid"]]
+        line = chunk(self.text(list(entries), False) + b"\n")
+        for watch in list(self.watches):
+            watch.push(line)
+
+    def end_watches(self):
+        for watch in list(self.watches):
+            reset(watch.sock)
+
+
+def answer(status: int, body: bytes, extra: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d Soak\r\n%bContent-Length: %d\r\n\r\n%b" % (status, extra, len(body), body)
+
+
+def chunk(text: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(text), text)
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -14,8 +14,8 @@
 
 from cartdeal.agent import log_output
 from cartdeal.agent.log_output import MOST_BYTES, NonBlockingHandler, shortened
+from cartdeal.rig.system_faults import PIPE_PAGE
 from tests.scene import Client, answered, config_file, worded
-from tests.system_faults import PIPE_PAGE
 
 F_SETPIPE_SZ = 1031
 LIMIT = 30.0  # seconds
--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,63 @@
+"""An agent that is held up: its process is stopped, or the machine gives it no time."""
+
+import json
+import os
+import re
+import signal
+import sys
+from time import monotonic
+
+import pytest
+from gevent import socket, subprocess
+
+from examples.toy import Server
+from tests.scene import Client, answered, config_file, until, worded
+
+HELD_UP = 1.0  # seconds
+SLACK = 0.15  # seconds by which the time told to a server may exceed what its client has left
+PORT = re.compile(rb"msg=serving .*port=(\d+)")
+
+
+@pytest.fixture
+def agent(tmp_path):
+    """A process, the port where it takes clients, and its one server."""
+    server = Server("s0")
+    file = tmp_path / "agent.json"
+    known = {"rev": 1, "all": True, "targets": [server.line()]}
+    file.write_text(json.dumps(config_file(known=known)))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "cartdeal"],
+        stderr=subprocess.PIPE,
+        env={**os.environ, "PROXY_CONFIG": str(file)},
+    )
+    while not (found := PORT.search(process.stderr.readline())):
+        assert process.poll() is None
+    yield process, int(found[1]), server
+    process.send_signal(signal.SIGCONT)
+    process.kill()
+    process.wait()
+    server.stop()
+
+
+def connect(port):
+    return Client(socket.create_connection(("127.0.0.1", port)), answers=True)
+
+
+@pytest.mark.parametrize("connections", ["known", "new"])
+def test_time_of_a_request_runs_while_the_agent_is_held_up(agent, bounded, connections):
+    process, port, server = agent
+    client = connect(port)
+    if connections == "known":
+        client.sock.sendall(worded())
+        assert answered(client)[0] == 200
+    os.kill(process.pid, signal.SIGSTOP)
+    client.sock.sendall(worded("/once/long", "POST", X_Timeout="2000m"))
+    hurried = connect(port)
+    hurried.sock.sendall(worded("/once/short", "POST", X_Timeout="500m"))
+    sent_at = monotonic()
+    until(lambda: monotonic() >= sent_at + HELD_UP)
+    os.kill(process.pid, signal.SIGCONT)
+    assert answered(client)[0] == 200
+    assert answered(hurried)[0] == 503
+    (told,) = [each.headers[b"x-timeout"] for each in server.seen if each.path == b"/once/long"]
+    assert int(told[:-1]) / 1e3 <= 2.0 - HELD_UP + SLACK
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -12,9 +12,9 @@
 from cartdeal.agent import configuration
 from cartdeal.agent.connection import BindError, bound
 from cartdeal.agent.upstream import NoConnection, UpstreamPool
+from cartdeal.rig.system_faults import OWN_LIMITS, SystemFaults
 from examples.toy import DiscoveryService
 from tests.scene import Deployment, answered, until, worded
-from tests.system_faults import OWN_LIMITS, SystemFaults
 
 MANY = 200  # more failures than there are connections
 OWN_TROUBLE = (*OWN_LIMITS, errno.EADDRNOTAVAIL, errno.ENETUNREACH)
