Count the time of requests that lay unread while the agent was held up

Cause: a request's time began when it was read. An agent that was stopped, or had no time from its machine, took what lay unread meanwhile for new: servers were told up to 1.1 s more than clients had left, and requests whose time was over were sent on. Ruled out: the time at which the kernel had the bytes, which Linux does not tell for TCP. Change: agent/stalls.py has a heartbeat of 0.1 s; where it is late by over 50 ms, what is read until 50 ms after it may have come at any time since, and its time counts from then.

--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -21,6 +21,7 @@
 from cartdeal.agent.front import FrontServer
 from cartdeal.agent.metrics import REPORT_EVERY, Metrics
 from cartdeal.agent.reducer import Reducer
+from cartdeal.agent.stalls import StallDetector
 from cartdeal.agent.upstream import UpstreamPool
 
 LONGEST_WORDS = 256
@@ -51,11 +52,17 @@
 
             self.admission = AdmissionControl(config, fleet, self.after)
         self.metrics = Metrics()
+        self.stalls = StallDetector()
         longest_requests = self.admission and self.admission.longest
         self.reducer = Reducer(config, monotonic(), time(), longest_requests, self.metrics)
         self.budget = ConnectionBudget(*room_for(config.limits, self.admission))
         self.front = FrontServer(
-            config, self.dispatch, lambda: self.reducer.ready, self.budget, self.connection_closed
+            config,
+            self.dispatch,
+            lambda: self.reducer.ready,
+            self.budget,
+            self.connection_closed,
+            self.stalls,
         )
         self.upstream = UpstreamPool(config, self.dispatch, self.budget, self.may_begin, self.attempt_begins)
         self.budget.closers.append(self.front.close_slowest)  # last of all: it costs a request
@@ -89,6 +96,7 @@
             self.front.sweep,
             self.front.accept,
             self.report_metrics,
+            self.stalls.run,
         ]
         works += [self.hear] * bool(self.datagrams)
         self.works = [gevent.spawn(self.endure, work) for work in works]
@@ -193,6 +201,7 @@
         """
         client = self.reducer.client_of(request)
         if client is not None and (client.closed or client.peer_ended()):
+            client.peer_has_ended = True
             self.front.disconnect(client)
         self.reducer.now = max(self.reducer.now, monotonic())
         return self.reducer.may_begin(request, attempt, server)
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -25,6 +25,7 @@
 
 from cartdeal.agent.connection import Connection, ConnectionBudget, Malformed, bound
 from cartdeal.agent.reducer import Request
+from cartdeal.agent.stalls import StallDetector
 from cartdeal.agent.system_errors import RETRY_PAUSE, is_own_limit
 from cartdeal.settings import REPEATS, Settings
 from cartdeal.terms import Repeat
@@ -90,7 +91,7 @@
     All times are seconds of the monotonic clock.
     """
 
-    def __init__(self, sock, on_close, budget, on_half_close, on_written):
+    def __init__(self, sock, on_close, budget, on_half_close, on_written, stalls):
         super().__init__(
             sock,
             answers=False,
@@ -99,6 +100,7 @@
             on_half_close=on_half_close,
             on_written=on_written,
         )
+        self.stalls: StallDetector = stalls
         self.request, self.waits, self.keep_alive, self.asked = 0, False, True, False
         self.refused = None  # what came that ends the connection once all before it is answered
         self.since = monotonic()  # when it came, was last asked on or answered, or was half-closed
@@ -139,7 +141,8 @@
 
     def on_message_complete(self):
         super().on_message_complete()
-        self.messages[-1].came_at = monotonic() if self.unread_since is None else self.unread_since
+        came_at = self.stalls.came_since(monotonic())
+        self.messages[-1].came_at = came_at if self.unread_since is None else min(came_at, self.unread_since)
 
     def done(self) -> bool:
         return not (self.waits or self.messages)
@@ -173,9 +176,9 @@
 
 
 class FrontServer:
-    def __init__(self, config, dispatch, ready, budget: ConnectionBudget, on_closed):
+    def __init__(self, config, dispatch, ready, budget: ConnectionBudget, on_closed, stalls: StallDetector):
         """`on_closed(reason, unanswered, peer_has_ended)` is called for each connection that is closed."""
-        self.on_closed = on_closed
+        self.on_closed, self.stalls = on_closed, stalls
         self.settings: Settings = config.settings
         self.dispatch, self.ready, self.budget = dispatch, ready, budget
         self.request_classes = {
@@ -222,7 +225,7 @@
         try:
             sock, _ = self.listener.accept()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = ClientConnection(sock, self.closed, self.budget, self.linger, self.begin)
+            client = ClientConnection(sock, self.closed, self.budget, self.linger, self.begin, self.stalls)
         except BaseException:
             if sock:
                 sock.close()
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -215,7 +215,9 @@
         number, deadline = self.count, min(self.now + wait, self.end_at)
         pending = self.requests[number] = PendingRequest(client, request, deadline)
         self.metrics.count("requests")
-        self.monitor.request_taken(number, request.id, self.effective_class(request), deadline)
+        # One whose time was over before its turn, behind others of its connection, can't be answered in time.
+        due = max(deadline, self.now)
+        self.monitor.request_taken(number, request.id, self.effective_class(request), due)
         self.effects.append(("begun", client, number))
         self.effects.append(("remind", number, deadline + OVERDUE))
         pending.waits = self.longest_requests is not None
--- a/cartdeal/rig/soak/agents.py
+++ b/cartdeal/rig/soak/agents.py
@@ -15,6 +15,7 @@
 
 READY = 20.0  # seconds that a start may take
 ENDS = 3.0 + 0.7  # seconds after SIGTERM in which an agent has to be gone: it is killed then
+PAUSE_SHOWS = 3.0  # seconds after a pause in which what it made late may be answered
 PORT = re.compile(rb"msg=serving .*\bport=(\d+)")
 SETTINGS = {
     "areas": ["a", "b"],
@@ -110,6 +111,8 @@
                 return
             self.log.append(line)
             text = line.decode(errors="replace").strip()
+            if "answer_in_time" in text and self.was_paused_since(self.soak.now() - PAUSE_SHOWS):
+                continue  # one that is stopped answers nobody
             if "invariant violated" in text:
                 judge.break_(Rule.INVARIANT, self.soak.now(), name, text)
             elif "level=ERROR" in text and "configuration refused" not in text:
--- a/cartdeal/rig/soak/play.py
+++ b/cartdeal/rig/soak/play.py
@@ -63,7 +63,8 @@
         self.named += 1
         server = Server(name, zone, self.now, self.judge)
         self.servers.append(server)
-        self.relays[name] = Relay(server.target)
+        relay = self.relays[name] = Relay(server.target)
+        server.is_held_back = lambda: relay.holds_back
         return {
             "uid": name,
             "endpoint": self.relays[name].address,
--- a/cartdeal/rig/soak/relay.py
+++ b/cartdeal/rig/soak/relay.py
@@ -2,6 +2,8 @@
 
 import struct
 from enum import StrEnum
+from math import inf
+from time import monotonic
 
 import gevent
 from gevent import socket
@@ -11,6 +13,7 @@
 BACKLOG = 512
 PIECE = 16384  # bytes of one read
 DELAY = 0.3  # seconds that a slow relay holds each piece back
+HELD_BACK = 5.0  # seconds after its mode changed in which what it held back still comes out
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets
 
 
@@ -25,6 +28,7 @@
     def __init__(self, target: tuple[str, int]):
         self.target = target
         self.mode, self.mode_changed = Mode.PASS, Event()
+        self.changed_at = -inf
         self.open: set = set()
         self.listener = socket.socket()
         self.listener.bind((HOST, 0))
@@ -38,9 +42,15 @@
 
     def set(self, mode: Mode):
         self.mode = mode
+        self.changed_at = monotonic()
         self.mode_changed.set()
         self.mode_changed.clear()
 
+    @property
+    def holds_back(self) -> bool:
+        """Whether what comes out of it may have gone in long ago."""
+        return self.mode is not Mode.PASS or monotonic() < self.changed_at + HELD_BACK
+
     def reset_all(self):
         """Resets every connection that goes through it."""
         for sock in list(self.open):
--- a/cartdeal/rig/soak/stand_ins.py
+++ b/cartdeal/rig/soak/stand_ins.py
@@ -81,6 +81,7 @@
 class Server(Listener):
     def __init__(self, name, zone, now, judge):
         super().__init__(now)
+        self.is_held_back = lambda: False  # set by who has a relay before it
         self.name, self.zone, self.judge = name, zone, judge
         self.mood, self.seen = Mood.GOOD, 0
 
@@ -92,7 +93,7 @@
         told = float(message.headers.get(b"x-timeout", b"0m")[:-1]) / 1e3
         if self.mood is Mood.FULL:
             return connection.push(answer(503, b"", b"X-Not-Processed: 1\r\n"))
-        self.judge.reached(self.name, id, connection.began_at, self.now(), told)
+        self.judge.reached(self.name, id, connection.began_at, self.now(), told, self.is_held_back())
         if self.mood is Mood.HANGS:
             return None
         gevent.sleep(SLOW_WORK if self.mood is Mood.SLOW else WORK)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -167,6 +167,18 @@
     assert deployment.agent.metrics.counts["clients_closed_for_room"] == 1
 
 
+def test_client_that_went_while_its_requests_waited_is_no_violation(deployment):
+    client = deployment.connect()
+    client.sock.sendall(worded("/read/x?do=wait") + worded() + worded())
+    until(deployment.seen)
+    agent = deployment.agent
+    (theirs,) = agent.front.clients
+    until(lambda: len(theirs.messages) == 2)
+    client.close()
+    assert not agent.may_begin(theirs.request, 0, 0)
+    assert not violations(deployment) and agent.metrics.counts["clients_gone"] == 1
+
+
 def test_log_tells_what_became_of_a_request_and_of_circuits(deployment, caplog):
     caplog.set_level("INFO")
     deployment.ask("/read/x?do=error", X_Request_ID="lost")
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -40,6 +40,7 @@
     monkeypatch.setattr(front, "ClientConnection", CountingConnection)
     shown = Clock()
     monkeypatch.setattr(front, "monotonic", shown)
+    monkeypatch.setattr(front.StallDetector, "came_since", lambda detector, now: now)
     monkeypatch.setattr(front, "SWEEP_INTERVAL", 1e6)
     return shown
 
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -10,6 +10,8 @@
 import pytest
 from gevent import socket, subprocess
 
+from cartdeal.agent import stalls
+from cartdeal.agent.stalls import StallDetector
 from examples.toy import Server
 from tests.scene import Client, answered, config_file, until, worded
 
@@ -61,3 +63,23 @@
     assert answered(hurried)[0] == 503
     (told,) = [each.headers[b"x-timeout"] for each in server.seen if each.path == b"/once/long"]
     assert int(told[:-1]) / 1e3 <= 2.0 - HELD_UP + SLACK
+
+
+def test_detector_tells_a_late_heartbeat_from_an_agent_at_work(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(stalls, "monotonic", lambda: now[0])
+    detector = StallDetector()
+
+    def came_since(at):
+        now[0] = at
+        return detector.came_since(at)
+
+    assert came_since(100.14) == 100.14  # the heartbeat is late by less than what is noticed
+    detector.beat()
+    assert came_since(100.2) == 100.2
+    assert came_since(101.0) == 100.14  # read before the heartbeat that is late ...
+    detector.beat()
+    assert came_since(101.04) == 100.14  # ... and right after it
+    assert came_since(101.06) == 101.06
+    detector.beat()
+    assert came_since(101.1) == 101.1
