--- a/cartdeal/rig/soak/judge.py
+++ b/cartdeal/rig/soak/judge.py
@@ -82,11 +82,8 @@
     def reached(self, server: str, id: str, first_byte_at: float, at: float, told: float, held_back: bool):
         """A server has a request whole; `held_back`: whether the network may have kept it for long."""
         drained_at = self.drained_at.get(server)
-        if (
-            drained_at is not None
-            and not held_back
-            and first_byte_at > drained_at + TOLD_AT_LATEST + DRAIN_GRACE + PLAY_SLACK
-        ):
+        drained_for = first_byte_at - drained_at if drained_at is not None else 0.0
+        if not held_back and drained_for > TOLD_AT_LATEST + DRAIN_GRACE + PLAY_SLACK:
             self.break_(Rule.DRAIN, at, id, f"{drained_for:.1f} s after {server} drained")
         request = self.requests.get(id)
         if request is None:
