--- a/cartdeal/rig/soak/stand_ins.py
+++ b/cartdeal/rig/soak/stand_ins.py
@@ -93,7 +93,9 @@
         told = float(message.headers.get(b"x-timeout", b"0m")[:-1]) / 1e3
         if self.mood is Mood.FULL:
             return connection.push(answer(503, b"", b"X-Not-Processed: 1\r\n"))
-        self.judge.reached(self.name, id, connection.began_at, self.now(), told, self.is_held_back())
+        self.judge.reached(
+            self.name, self.zone, id, connection.began_at, self.now(), told, self.is_held_back()
+        )
         if self.mood is Mood.HANGS:
             return None
         gevent.sleep(SLOW_WORK if self.mood is Mood.SLOW else WORK)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 from cartdeal.emulator.world import Unusable
 from cartdeal.rig.soak import play, troubles
+from cartdeal.rig.soak.judge import Judge, Rule, SoakRequest
 
 
 def test_small_soak_keeps_the_rules():
@@ -25,3 +26,67 @@
 def test_soak_of_no_sensible_size_is_refused(agents, seconds):
     with pytest.raises(Unusable, match="wanted"):
         play.Soak(1, agents, seconds)
+
+
+class Judged:
+    """A judge with one request, sent at 10 and waited for until 12."""
+
+    def __init__(self, kind="read"):
+        self.judge = Judge()
+        self.request = SoakRequest("id", kind, 10.0, 2.0, 0)
+        self.judge.sent(self.request)
+
+    def reached(self, at=10.1, zone="a", id="id", told=1.0, held_back=False, server="s0"):
+        self.judge.reached(server, zone, id, at, at, told, held_back)
+
+    @property
+    def rules(self):
+        return [each.rule for each in self.judge.violations]
+
+
+@pytest.mark.parametrize(
+    "kind, runs, breaks",
+    [
+        ("read", [(10.1, "a"), (11.0, "b")], 0),
+        ("once", [(10.1, "a")], 0),
+        ("once", [(10.1, "a"), (10.2, "a")], 1),
+        ("mark", [(10.1, "a"), (10.5, "a")], 0),
+        ("mark", [(10.1, "a"), (10.5, "b")], 1),
+        ("mark", [(9.0, "a"), (11.5, "a")], 1),
+    ],
+)
+def test_judge_of_the_soak_finds_second_effects(kind, runs, breaks):
+    judged = Judged(kind)
+    for at, zone in runs:
+        judged.reached(at, zone, told=0.1)
+    assert judged.rules == [Rule.DUPLICATE] * breaks
+
+
+def test_judge_of_the_soak_finds_every_other_break():
+    judged = Judged()
+    judged.reached(told=2.5)
+    judged.reached(id="another")
+    judged.judge.drained_at["s1"] = 0.5
+    judged.reached(server="s1")
+    judged.request.left_at = 10.2
+    judged.reached(at=10.6)
+    judged.judge.answered(judged.request, 12.6, 200, b"another", False)
+    judged.judge.sent(SoakRequest("open", "read", 10.0, 2.0, 0))
+    judged.judge.close(20.0)
+    assert judged.rules == [
+        Rule.TIME_TOLD,
+        Rule.FOREIGN,
+        Rule.DRAIN,
+        Rule.CLIENT_GONE,
+        Rule.FOREIGN,
+        Rule.LOST,
+        Rule.LOST,
+    ]
+
+
+def test_judge_of_the_soak_excuses_what_the_soak_itself_held_back():
+    judged = Judged()
+    judged.judge.drained_at["s0"] = 0.5
+    judged.reached(told=2.5, held_back=True)
+    judged.judge.answered(judged.request, 13.0, 200, b"id", True)
+    assert not judged.rules
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -12,8 +12,8 @@
 
 from cartdeal.agent import stalls
 from cartdeal.agent.stalls import StallDetector
-from examples.toy import Server
-from tests.scene import Client, answered, config_file, until, worded
+from examples.toy import DiscoveryService, Server
+from tests.scene import SETTINGS, Client, answered, config_file, until, worded
 
 HELD_UP = 1.0  # seconds
 SLACK = 0.15  # seconds by which the time told to a server may exceed what its client has left
@@ -83,3 +83,41 @@
     assert came_since(101.06) == 101.06
     detector.beat()
     assert came_since(101.1) == 101.1
+
+
+def test_drain_that_was_told_while_the_agent_was_held_up_is_heard_before_anything_goes_out(tmp_path, bounded):
+    """The list and the requests lie unread side by side; no server that drains has one of them."""
+    servers = [Server(f"s{number}") for number in range(2)]
+    service = DiscoveryService()
+    service.lines = {each.name: each.line() for each in servers}
+    file = tmp_path / "agent.json"
+    known = {"rev": 1, "all": True, "targets": list(service.lines.values())}
+    settings = SETTINGS | {"discovery": "pushed"}
+    file.write_text(json.dumps(config_file(known=known, discovery=service.address, settings=settings)))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "cartdeal"],
+        stderr=subprocess.PIPE,
+        env={**os.environ, "PROXY_CONFIG": str(file)},
+    )
+    try:
+        while not (found := PORT.search(process.stderr.readline())):
+            assert process.poll() is None
+        until(lambda: service.watches)
+        clients = [connect(int(found[1])) for _ in range(20)]
+        for client in clients:
+            client.sock.sendall(worded())
+            assert answered(client)[0] == 200
+        drained = max(servers, key=lambda server: len(server.seen))
+        os.kill(process.pid, signal.SIGSTOP)
+        before = len(drained.seen)
+        for client in clients:
+            client.sock.sendall(worded())
+        service.tell(drained.line(state="leaving"))
+        os.kill(process.pid, signal.SIGCONT)
+        assert {answered(client)[0] for client in clients} == {200}
+        assert len(drained.seen) == before
+    finally:
+        process.kill()
+        process.wait()
+        for each in (*servers, service):
+            each.stop()
