--- a/cartdeal/cli.py
+++ b/cartdeal/cli.py
@@ -145,15 +145,16 @@
 @click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="may come again; 1 if left out")
 @click.option("--agents", default=24, help="processes of agents")
 @click.option("--seconds", default=30.0, help="for which clients ask")
+@click.option("--faults", default=0.002, help="the chance that a system call fails, at every other agent")
 @click.option("--logs", type=click.Path(file_okay=False), help="a folder for the agents' logs")
-def soak(seeds, agents, seconds, logs):
+def soak(seeds, agents, seconds, faults, logs):
     """Play overlapping troubles on sockets, with real agents; exit status 1 if a rule was broken."""
     from cartdeal.rig.soak import play
 
     interruptible()
     broken = 0
     for seed in seeds:
-        played = play.Soak(seed, agents, seconds).play()
+        played = play.Soak(seed, agents, seconds, faults).play()
         click.echo(played.report())
         broken += len(played.judge.violations)
         if logs:
--- a/cartdeal/rig/soak/play.py
+++ b/cartdeal/rig/soak/play.py
@@ -29,12 +29,14 @@
 TAIL = 7.0  # seconds after the last request, when all must be answered
 DRAINS_FOR = 4.0  # seconds from a server's drain to its end
 AWAY = 0.3  # seconds between an agent's end and its next life
-FAULT_CHANCE = 0.002
+FAULT_CHANCE = 0.002  # that a system call of an agent fails
 WALL_CLOCKS = (0.0, 0.0, 3600.0, -3600.0)  # how far ahead agents' wall clocks are
 
 
 class Soak:
-    def __init__(self, seed: int, agents: int, seconds: float):
+    def __init__(self, seed: int, agents: int, seconds: float, fault_chance: float = FAULT_CHANCE):
+        """`fault_chance`: of each system call of every other agent."""
+        self.fault_chance = fault_chance
         if not 1 <= agents <= MOST_AGENTS:
             raise Unusable(f"agents: found {agents}, wanted 1 to {MOST_AGENTS}")
         if not 0 < seconds <= MOST_SECONDS:
@@ -138,7 +140,7 @@
         """Half of the agents have system calls that fail, and may have a wall clock that is wrong."""
         if number % 2:
             return None
-        return f"{self.seed * 100 + number},{FAULT_CHANCE},{self.random.choice(WALL_CLOCKS)}"
+        return f"{self.seed * 100 + number},{self.fault_chance},{self.random.choice(WALL_CLOCKS)}"
 
     def stop(self):
         gevent.killall(self.works)
