Let all that lay unread while the agent was held up count as old, however long it takes to read it

Cause: what was read later than 50 ms after the late heartbeat counted as new. Change: at the late heartbeat each connection with bytes unread is marked, and those that wait at the door are until the queue is empty; a mark goes when its connection is read empty. No time is guessed any more.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -83,6 +83,16 @@
     return sock
 
 
+def is_ready(sock, event: int, unknown: bool) -> bool:
+    """Whether a socket shows one of poll's events, or an error; `unknown` where the system can't tell."""
+    try:
+        look = select.poll()
+        look.register(sock, event)
+        return bool(look.poll(0))
+    except OSError:
+        return unknown
+
+
 class ConnectionBudget:
     """How many connections there may be, and how many bytes for long bodies.
 
@@ -444,14 +454,7 @@
         Where the system can't tell, there may be bytes, and the other side has not ended. A closed connection
         has ended.
         """
-        if self.closed:
-            return True
-        try:
-            look = select.poll()
-            look.register(self.sock, event)
-            return bool(look.poll(0))
-        except OSError:
-            return event == select.POLLIN
+        return self.closed or is_ready(self.sock, event, unknown=event == select.POLLIN)
 
     def close(self):
         if not self.closed:
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -16,6 +16,7 @@
 import hashlib
 import logging
 import re
+import select
 from enum import StrEnum
 from time import monotonic
 
@@ -23,7 +24,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, ConnectionBudget, Malformed, bound
+from cartdeal.agent.connection import Connection, ConnectionBudget, Malformed, bound, is_ready
 from cartdeal.agent.reducer import Request
 from cartdeal.agent.stalls import StallDetector
 from cartdeal.agent.system_errors import RETRY_PAUSE, is_own_limit
@@ -121,10 +122,10 @@
             self.unread_since = None
         return more
 
-    def note_unread(self):
-        """Remembers when bytes lay unread: what is made of them came by then, for all that can be known."""
+    def note_unread(self, since: float | None = None):
+        """Remembers from when on bytes may have lain unread, if they do; now, where `since` is left out."""
         if self.unread_since is None and self.unread():
-            self.unread_since = monotonic()
+            self.unread_since = monotonic() if since is None else since
 
     def on_message_begin(self):
         super().on_message_begin()
@@ -179,6 +180,10 @@
     def __init__(self, config, dispatch, ready, budget: ConnectionBudget, on_closed, stalls: StallDetector):
         """`on_closed(reason, unanswered, peer_has_ended)` is called for each connection that is closed."""
         self.on_closed, self.stalls = on_closed, stalls
+        self.waited_since = (
+            None  # from when on those at the door may have waited, where the agent was held up
+        )
+        stalls.listeners.append(self.note_held_up)
         self.settings: Settings = config.settings
         self.dispatch, self.ready, self.budget = dispatch, ready, budget
         self.request_classes = {
@@ -208,6 +213,8 @@
                 self.budget.freed.wait(
                     SWEEP_INTERVAL
                 )  # with time a client may become one that is closed for room
+            if self.waited_since is not None and not self.somebody_waits():
+                self.waited_since = None
             try:
                 self.admit()
             except OSError as trouble:
@@ -217,6 +224,16 @@
                 continue
             gevent.sleep(0)  # hundreds that connect at once wait for those that have asked
 
+    def note_held_up(self, since: float):
+        """What lies unread, and who waits at the door, may have come at any time since."""
+        for client in self.clients:
+            client.note_unread(since)
+        if self.taking and self.waited_since is None and self.somebody_waits():
+            self.waited_since = since
+
+    def somebody_waits(self) -> bool:
+        return is_ready(self.listener, select.POLLIN, unknown=False)
+
     def admit(self):
         """Lets in the next who waits at the door, in a place that was taken from the budget and is given back
         should it fail. Raises what the system raises.
@@ -231,6 +248,8 @@
                 sock.close()
             self.budget.release()
             raise
+        if self.waited_since is not None:
+            client.note_unread(self.waited_since)
         self.clients.add(client)
         self.unidentified[client] = None
         gevent.spawn(self.serve, client)
--- a/cartdeal/agent/stalls.py
+++ b/cartdeal/agent/stalls.py
@@ -1,17 +1,15 @@
 """Notices that the agent was held up: stopped, or given no time by its machine.
 
-What it reads right after may have come at any time since. A heartbeat tells how long that may have been;
+What lies unread after that may have come at any time since. A heartbeat tells how long that may have been;
 delays of less than NOTICED are not told from an agent at work.
 """
 
-from math import inf
 from time import monotonic
 
 import gevent
 
 HEARTBEAT = 0.1  # seconds
 NOTICED = 0.05  # seconds by which a heartbeat is late from which on the agent was held up
-SETTLES = 0.05  # seconds after that in which what lay unread is still being read
 
 
 class StallDetector:
@@ -19,8 +17,7 @@
 
     def __init__(self):
         self.beat_at = monotonic()
-        self.held_up_since = self.beat_at  # before the last heartbeat that was late
-        self.settled_at = -inf
+        self.listeners = []  # called with the time of the last heartbeat before the one that is late
 
     def run(self):
         while True:
@@ -28,17 +25,16 @@
             self.beat()
 
     def beat(self):
-        now = monotonic()
-        if self.is_late(now):
-            self.held_up_since = self.beat_at
-            self.settled_at = now + SETTLES
+        now, before = monotonic(), self.beat_at
+        was_late = self.is_late(now)
         self.beat_at = now
+        if was_late:
+            for listener in self.listeners:
+                listener(before)
 
     def is_late(self, now: float) -> bool:
         return now > self.beat_at + HEARTBEAT + NOTICED
 
     def came_since(self, now: float) -> float:
-        """The earliest time at which what is read now may have come."""
-        if self.is_late(now):
-            return self.beat_at
-        return self.held_up_since if now < self.settled_at else now
+        """The earliest time at which what is read now may have come, as far as no listener was told yet."""
+        return self.beat_at if self.is_late(now) else now
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -7,13 +7,14 @@
 import sys
 from time import monotonic
 
+import gevent
 import pytest
 from gevent import socket, subprocess
 
 from cartdeal.agent import stalls
 from cartdeal.agent.stalls import StallDetector
 from examples.toy import DiscoveryService, Server
-from tests.scene import SETTINGS, Client, answered, config_file, until, worded
+from tests.scene import SETTINGS, Client, Deployment, answered, config_file, until, worded
 
 HELD_UP = 1.0  # seconds
 SLACK = 0.15  # seconds by which the time told to a server may exceed what its client has left
@@ -66,9 +67,10 @@
 
 
 def test_detector_tells_a_late_heartbeat_from_an_agent_at_work(monkeypatch):
-    now = [100.0]
+    now, told = [100.0], []
     monkeypatch.setattr(stalls, "monotonic", lambda: now[0])
     detector = StallDetector()
+    detector.listeners.append(told.append)
 
     def came_since(at):
         now[0] = at
@@ -76,13 +78,42 @@
 
     assert came_since(100.14) == 100.14  # the heartbeat is late by less than what is noticed
     detector.beat()
-    assert came_since(100.2) == 100.2
-    assert came_since(101.0) == 100.14  # read before the heartbeat that is late ...
+    assert came_since(100.2) == 100.2 and not told
+    assert came_since(101.0) == 100.14  # read before the heartbeat that is late
     detector.beat()
-    assert came_since(101.04) == 100.14  # ... and right after it
-    assert came_since(101.06) == 101.06
-    detector.beat()
-    assert came_since(101.1) == 101.1
+    assert told == [100.14] and came_since(101.04) == 101.04  # the others were told
+
+
+def test_all_that_lay_unread_counts_from_before_the_agent_was_held_up(tmp_path, bounded):
+    """However long it takes to read it: clients that are here, and those that wait at the door."""
+    deployment = Deployment(tmp_path)
+    try:
+        agent = deployment.agent
+        front, taken, dispatch = agent.front, {}, agent.front.dispatch
+
+        def watched(event, client, request=None, *about):
+            if event == "taken":
+                taken[request.path] = request.wait
+            dispatch(event, client, *([] if request is None else [request]), *about)
+
+        front.dispatch = watched
+        here = deployment.connect()
+        assert deployment.ask(connection=here)[0] == 200
+        agent.works[3].kill()  # the door: its clients stay in the queue
+        waiting = [deployment.connect() for _ in range(3)]
+        for number, client in enumerate((here, *waiting)):
+            client.sock.sendall(worded(f"/read/{number}", X_Timeout="10000m"))
+        agent.stalls.listeners[0](monotonic() - 4.0)
+        door = gevent.spawn(front.accept)
+        assert [answered(client)[0] for client in (here, *waiting)] == [200] * 4
+        assert all(taken[b"/read/%d" % number] < 6.0 for number in range(4)), taken
+        late = deployment.connect()
+        assert deployment.ask("/read/late", connection=late, X_Timeout="10000m")[0] == 200
+        assert deployment.ask("/read/next", connection=here, X_Timeout="10000m")[0] == 200
+        assert taken[b"/read/late"] > 9.0 and taken[b"/read/next"] > 9.0
+        door.kill()
+    finally:
+        deployment.stop()
 
 
 def test_drain_that_was_told_while_the_agent_was_held_up_is_heard_before_anything_goes_out(tmp_path, bounded):
