--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -232,7 +232,8 @@
             self.waited_since = since
 
     def somebody_waits(self) -> bool:
-        return is_ready(self.listener, select.POLLIN, unknown=False)
+        """Whether there are clients at the door, for all that the system can tell."""
+        return is_ready(self.listener, select.POLLIN, unknown=True)
 
     def admit(self):
         """Lets in the next who waits at the door, in a place that was taken from the budget and is given back
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -168,6 +168,7 @@
     assert deployment.ask("/health/ready", connection=client)[0] == 200
     faults.fail("poll", errno.ENOMEM)
     assert not deployment.agent.front.close_idle()
+    assert deployment.agent.front.somebody_waits()  # and nobody at the door counts as one that came just now
     assert deployment.ask("/once/x", "POST", b"body", connection=client)[0] == 200
 
 
