Let closed connections go at once, and not with the next collection of all garbage

Cause: a connection and its parser hold each other, so a closed one with its buffer of 4 KB waits for Python's collection of all garbage, which comes the seldomer the more objects there are. Change: a closed connection drops its parser, after the parse where it is in one.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -166,6 +166,7 @@
         self.half_closed = False  # whether our sending has ended
         self.discarded = 0  # bytes that came since and were thrown away
         self.closed = False
+        self.is_parsing = False
         self.broken = False  # whether the other side took no more of what was written
         self.since = 0.0  # when it became idle, for its owner
 
@@ -174,6 +175,8 @@
 
         The end may make a message whole.
         """
+        if self.closed:
+            return False
         self.sock.settimeout(wait)
         if self.discards_input:
             count = self.sock.recv_into(DISCARD_BUFFER)
@@ -192,12 +195,16 @@
         count = self.put_off(count)
         self.framing += count
         self.came = self.kept + count
+        self.is_parsing = True
         try:
             self.parser.feed_data(self.view[self.kept : self.came])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
             if not (self.answers and self.messages):  # what follows a whole answer is no fault of its own
                 raise self.wrong or Malformed(400, f"no HTTP: {trouble}") from None
             self.more = True
+        finally:
+            self.is_parsing = False
+            self.release_parser()
         if self.mid_message and self.message.headers.get(FRAMING_HEADERS[1]):
             self.check_chunk()
         self.ahead = None
@@ -456,9 +463,18 @@
         """
         return self.closed or is_ready(self.sock, event, unknown=event == select.POLLIN)
 
+    def release_parser(self):
+        """Lets a closed connection go at once.
+
+        It and its parser hold each other, and with its buffer would wait for a collection of all garbage.
+        """
+        if self.closed and not self.is_parsing:
+            self.parser = None
+
     def close(self):
         if not self.closed:
             self.closed = True
+            self.release_parser()
             self.release_body_memory()
             if self.half_closed:
                 self.discard_unread()
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -127,9 +127,7 @@
 
     def run_attempt(self, attempt, request_number, attempt_number, server, address, request, deadline):
         def text():
-            wait = int(left(deadline) * 1000)
-            if not wait:
-                raise TimeoutError
+            wait = milliseconds_left(deadline)
             self.begins(request_number, attempt_number, server, wait / 1000)
             return written(request, wait)
 
@@ -342,6 +340,14 @@
     return max(0.0, deadline - monotonic())
 
 
+def milliseconds_left(deadline: float) -> int:
+    """Raises TimeoutError where there is none: a server that was told 0 might take it for no bound."""
+    wait = int(left(deadline) * 1000)
+    if not wait:
+        raise TimeoutError
+    return wait
+
+
 def written(request, wait: int) -> bytes:
     """A request as a server is sent it; `wait`: the milliseconds for which the agent waits."""
     head = b"%b %b HTTP/1.1\r\nHost: backend\r\nX-Request-ID: %b\r\nX-Timeout: %dm\r\n" % (
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -9,7 +9,7 @@
 
 from cartdeal.agent.connection import BODY_LIMIT, Connection, Malformed
 from cartdeal.agent.reducer import FailureReason, Progress, Request
-from cartdeal.agent.upstream import Attempt, written
+from cartdeal.agent.upstream import Attempt, milliseconds_left, written
 from examples.toy import Server
 from tests.scene import Deployment, until
 
@@ -134,7 +134,11 @@
         upstream.pool(0, connection)
         connection.since -= 1.0
     deadline = monotonic() + left
-    result = upstream.exchange(Attempt(), 0, address, deadline, lambda: written(request, deadline))
+
+    def text():
+        return written(request, milliseconds_left(deadline))
+
+    result = upstream.exchange(Attempt(), 0, address, deadline, text)
     assert (result.reason, result.progress) == (FailureReason.TIMED_OUT, Progress.NOT_CONNECTED)
     assert result.outcome().never_ran and not deployment.seen()
     until(lambda: not any(server.open for server in deployment.servers))
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -1,6 +1,8 @@
 """What a client, a neighbour or discovery may make the agent hold, or keep it from doing, has a bound."""
 
+import gc
 import sys
+import weakref
 
 import gevent
 import pytest
@@ -134,3 +136,25 @@
     )
     subprocess.run([sys.executable, "-c", told], check=False)
     assert int((tmp_path / "found").read_text()) > 2
+
+
+def test_closed_connections_do_not_wait_for_a_collection(deployment):
+    """A client and its parser hold each other; thousands of them, each with its buffer, would gather."""
+    front = deployment.agent.front
+    gc.collect()
+    gc.disable()
+    try:
+        kept = []
+        for _ in range(20):
+            client = deployment.connect()
+            assert deployment.ask(connection=client, Connection="close")[0] == 200
+            (theirs,) = until_some(
+                lambda: [*deployment.agent.front.clients, *deployment.agent.front.lingering]
+            )
+            kept.append(weakref.ref(theirs))
+            del theirs
+            client.close()
+            until(lambda: not (front.clients or front.lingering))
+        until(lambda: sum(each() is not None for each in kept) <= 1)
+    finally:
+        gc.enable()
