Excuse no request in the soak but one that a connection's end may have crossed

The soak's judge took a request on a connection used before for one that its close had crossed also where the connection stayed and no answer came, and those behind an answer that ended the connection for excused: a lost request could hide there. Both are judged now, and tested.

--- a/cartdeal/rig/soak/clients.py
+++ b/cartdeal/rig/soak/clients.py
@@ -51,14 +51,20 @@
             return
         for place, request in enumerate(requests):
             if not self.hear(connection, request, used):
-                return self.give_up(requests[place + 1 :])
+                return self.give_up(request, requests[place + 1 :])
         self.idle.append(connection)
         return None
 
-    def give_up(self, requests):
-        """Their connection is closed; the first that had no answer speaks for those behind it."""
-        for request in requests:
-            request.left_at, request.excused = self.soak.now(), True
+    def give_up(self, last, behind):
+        """The connection ended with the `last` one.
+
+        Where that was answered, those sent with it were read with it, and are owed an answer; else it speaks
+        for them.
+        """
+        for request in behind:
+            request.left_at = self.soak.now()
+            request.excused = last.answered_at is None or self.agent.was_killed_since(request.sent_at)
+            self.soak.judge.unanswered(request, request.left_at, "closed behind an answer to the one before")
 
     def make(self, timeout: float) -> SoakRequest:
         kind = self.random.choice(list(KINDS))
@@ -91,7 +97,8 @@
                 connection.sock.sendall(text[place : place + size])
         except OSError:
             connection.close()
-            self.give_up(requests)
+            for request in requests:  # the agent's machine did not take them whole
+                request.left_at, request.excused = self.soak.now(), True
             return False
         return True
 
@@ -110,12 +117,14 @@
         try:
             while not connection.messages:
                 left = request.sent_at + wait - self.soak.now()
-                if left <= 0 or not connection.receive(left):
-                    break
+                if left <= 0:
+                    return self.lost(connection, request, False, "no answer, and the connection stays")
+                if not connection.receive(left):
+                    return self.lost(connection, request, used, "closed")
+        except TimeoutError:
+            return self.lost(connection, request, False, "no answer, and the connection stays")
         except (OSError, Malformed) as trouble:
             return self.lost(connection, request, used, repr(trouble))
-        if not connection.messages:
-            return self.lost(connection, request, used, "closed" if self.soak.now() else "")
         message = connection.messages.pop(0)
         held_up = self.agent.was_paused_since(request.sent_at)
         judge.answered(request, self.soak.now(), message.status, message.body, held_up)
@@ -130,14 +139,13 @@
         request.left_at = self.soak.now()
         return False
 
-    def lost(self, connection, request, used, how) -> bool:
-        """No answer came.
+    def lost(self, connection, request, may_cross, how) -> bool:
+        """No answer came. `may_cross`: whether the connection ended, and had been used before.
 
-        On a connection used before, its close may have crossed the request; then no server may have had
-        it, which the judge sees.
+        Its end may have crossed the request then, if no server had it.
         """
         connection.close()
-        crossed = used and not request.ran
+        crossed = may_cross and not request.ran
         request.excused |= crossed or self.agent.was_killed_since(request.sent_at)
         request.left_at = self.soak.now()
         self.soak.judge.unanswered(request, self.soak.now(), how)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,14 @@
 """A small soak, so that it goes on working; the large ones are run by hand: `python -m cartdeal soak`."""
 
+from random import Random
+from time import monotonic
+from types import SimpleNamespace
+
 import pytest
+from gevent import socket
 
 from cartdeal.emulator.world import Unusable
-from cartdeal.rig.soak import play, troubles
+from cartdeal.rig.soak import clients, play, troubles
 from cartdeal.rig.soak.judge import Judge, Rule, SoakRequest
 
 
@@ -90,3 +95,35 @@
     judged.reached(told=2.5, held_back=True)
     judged.judge.answered(judged.request, 13.0, 200, b"id", True)
     assert not judged.rules
+
+
+@pytest.fixture
+def usual(monkeypatch):
+    """A usual client that never leaves early, its connection, the agent's end of it, and the judge."""
+    monkeypatch.setattr(clients, "PATIENCE", 0.05)
+    monkeypatch.setattr(clients, "LEAVES", 0.0)
+    soak = SimpleNamespace(random=Random(1), judge=Judge(), now=monotonic)
+    agent = SimpleNamespace(number=0, was_killed_since=lambda at: False, was_paused_since=lambda at: False)
+    ours, theirs = socket.socketpair()
+    yield clients.UsualClients(soak, agent), clients.ClientSide(ours, answers=True), theirs, soak.judge
+    ours.close()
+    theirs.close()
+
+
+@pytest.mark.parametrize("ends, excused", [(False, False), (True, True)])
+def test_only_the_end_of_a_used_connection_may_have_crossed_a_request(usual, ends, excused):
+    client, connection, agents_end, judge = usual
+    request = SoakRequest("id", "read", monotonic(), 0.01, 0)
+    if ends:
+        agents_end.close()
+    assert not client.hear(connection, request, True)
+    assert [each.rule for each in judge.violations] == [Rule.LOST] * (not excused)
+
+
+def test_request_behind_an_answer_that_ends_its_connection_is_owed_one(usual):
+    client, connection, agents_end, judge = usual
+    first, second = (SoakRequest(id, "read", monotonic(), 0.01, 0) for id in "ab")
+    agents_end.send(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na")
+    assert not client.hear(connection, first, True)
+    client.give_up(first, [second])
+    assert [(each.rule, each.about) for each in judge.violations] == [(Rule.LOST, "b")]
