Share the stand-ins' listener, the answer to a faulty request and the client's end of a connection

No behaviour changes. The soak's listener is the rig's with connections of its own; the tests' client is the soak's; four places that word the answer to a fault are FrontServer.push_error; receive set a socket's time limit twice for each read; an event that nothing waited for is gone, and two comments stand where they belong again.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -177,8 +177,8 @@
         """
         if self.closed:
             return False
-        self.sock.settimeout(wait)
         if self.discards_input:
+            self.sock.settimeout(wait)
             count = self.sock.recv_into(DISCARD_BUFFER)
             self.discarded += count
             if self.discarded > len(DISCARD_BUFFER):
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -180,9 +180,7 @@
     def __init__(self, config, dispatch, ready, budget: ConnectionBudget, on_closed, stalls: StallDetector):
         """`on_closed(reason, unanswered, peer_has_ended)` is called for each connection that is closed."""
         self.on_closed, self.stalls = on_closed, stalls
-        self.waited_since = (
-            None  # from when on those at the door may have waited, where the agent was held up
-        )
+        self.waited_since = None  # from when on those at the door may have waited for an agent held up
         stalls.listeners.append(self.note_held_up)
         self.settings: Settings = config.settings
         self.dispatch, self.ready, self.budget = dispatch, ready, budget
@@ -210,9 +208,8 @@
             # Without a descriptor to spare, clients wait in the listening queue until one is free.
             while not self.budget.acquire():
                 self.budget.freed.clear()
-                self.budget.freed.wait(
-                    SWEEP_INTERVAL
-                )  # with time a client may become one that is closed for room
+                # With time a client may become one that is closed for room.
+                self.budget.freed.wait(SWEEP_INTERVAL)
             if self.waited_since is not None and not self.somebody_waits():
                 self.waited_since = None
             try:
@@ -282,10 +279,10 @@
             client.waits = False
             self.dispatch("client_disconnected", client.request)
         for trouble in answers[:-1]:
-            client.push(response(trouble.status, str(trouble).encode(), b""))
+            self.push_error(client, trouble)
         for trouble in answers[-1:]:
             client.refused = trouble
-            client.push(response(trouble.status, str(trouble).encode(), CLOSE), True)
+            self.push_error(client, trouble, last=True)
 
     def receive(self, client: ClientConnection) -> bool:
         try:
@@ -334,9 +331,13 @@
         answers = [trouble] + [Malformed(503, "behind a bad request")] * self.drop_read(client)
         for each in answers[:-1]:
             log.info("request refused", extra={"status": each.status, "reason": str(each)})
-            client.push(response(each.status, str(each).encode(), b""))
+            self.push_error(client, each)
         self.refuse(client, answers[-1])
 
+    def push_error(self, client: ClientConnection, trouble: Malformed, last: bool = False):
+        """Writes the answer that a request has for its fault; behind the last one the connection ends."""
+        client.push(response(trouble.status, str(trouble).encode(), CLOSE * last), last)
+
     def drop_read(self, client: ClientConnection) -> int:
         """Drops the requests that were read, also one of which only a part was; gives how many there were."""
         count = len(client.messages)
@@ -381,7 +382,7 @@
         if refused_last and not (client.closed or client.ends_after_write):
             client.since = monotonic()
             self.unidentified[client] = None
-            client.push(response(client.refused.status, str(client.refused).encode(), CLOSE), True)
+            self.push_error(client, client.refused, last=True)
 
     def identify(self, client: ClientConnection):
         client.asked = True
--- a/cartdeal/rig/soak/play.py
+++ b/cartdeal/rig/soak/play.py
@@ -18,7 +18,7 @@
 from cartdeal.rig.soak.agents import Agent
 from cartdeal.rig.soak.clients import UsualClients
 from cartdeal.rig.soak.judge import Judge, Rule
-from cartdeal.rig.soak.relay import Relay
+from cartdeal.rig.soak.relay import HOST, Relay
 from cartdeal.rig.soak.stand_ins import Discovery, Server
 
 MOST_AGENTS = 64
@@ -47,7 +47,7 @@
         self.lag = 0.0  # by which this process itself was late at most
         self.servers, self.relays = [], {}
         self.discovery = Discovery(self.now)
-        self.discovery_relays = [Relay(self.discovery.target) for _ in range(3)]
+        self.discovery_relays = [Relay((HOST, self.discovery.port)) for _ in range(3)]
         self.troubles = troubles.draw(seed, seconds)
         self.agents: list[Agent] = []
         self.works = []
@@ -65,7 +65,7 @@
         self.named += 1
         server = Server(name, zone, self.now, self.judge)
         self.servers.append(server)
-        relay = self.relays[name] = Relay(server.target)
+        relay = self.relays[name] = Relay((HOST, server.port))
         server.is_held_back = lambda: relay.holds_back
         return {
             "uid": name,
@@ -146,8 +146,10 @@
         gevent.killall(self.works)
         for agent in self.agents:
             agent.stop()
-        for each in (*self.servers, *self.relays.values(), *self.discovery_relays, self.discovery):
-            each.stop()
+        for relay in (*self.relays.values(), *self.discovery_relays):
+            relay.stop()
+        for stand_in in (*self.servers, self.discovery):
+            stand_in.close()
 
     def report(self) -> str:
         asked = self.judge.requests.values()
--- a/cartdeal/rig/soak/stand_ins.py
+++ b/cartdeal/rig/soak/stand_ins.py
@@ -4,11 +4,10 @@
 from enum import StrEnum
 
 import gevent
-from gevent import socket
-from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, Malformed
-from cartdeal.rig.soak.relay import BACKLOG, HOST, reset
+from cartdeal.agent.connection import Connection
+from cartdeal.rig.soak.relay import reset
+from cartdeal.rig.stands import Listener
 
 EMPTY_LINE_EVERY = 2.0  # seconds
 WORK = 0.01  # seconds that a server takes over a request
@@ -41,44 +40,18 @@
         self.began_at = self.now()
 
 
-class Listener:
+class TimingListener(Listener):
+    """One whose connections know when the first byte of each request came, by `now()`."""
+
     def __init__(self, now):
-        self.now, self.open = now, set()
-        self.socket = socket.socket()
-        self.socket.bind((HOST, 0))
-        self.socket.listen(BACKLOG)
-        self.target = self.socket.getsockname()
-        self.work = gevent.spawn(self.accept)
-
-    def accept(self):
-        while True:
-            try:
-                sock, _ = self.socket.accept()
-            except OSError:
-                return
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = TimedConnection(sock, self.now, on_close=self.open.discard)
-            self.open.add(connection)
-            gevent.spawn(self.serve, connection)
-
-    def serve(self, connection):
-        try:
-            while not connection.closed and connection.receive(None):
-                while connection.messages and not connection.closed:
-                    self.play(connection, connection.messages.pop(0))
-        except (OSError, Malformed):
-            pass
-        finally:
-            connection.close()
-
-    def stop(self):
-        self.work.kill()
-        self.socket.close()
-        for connection in list(self.open):
-            connection.close()
-
-
-class Server(Listener):
+        self.now = now
+        super().__init__()
+
+    def connection(self, sock) -> Connection:
+        return TimedConnection(sock, self.now, on_close=self.open.discard)
+
+
+class Server(TimingListener):
     def __init__(self, name, zone, now, judge):
         super().__init__(now)
         self.is_held_back = lambda: False  # set by who has a relay before it
@@ -111,10 +84,10 @@
         return connection.push(answer(500, b"") if self.mood is Mood.ERRORS else good)
 
 
-class Discovery(Listener):
+class Discovery(TimingListener):
     def __init__(self, now):
         self.entries, self.version, self.watches = {}, 1, set()
-        self.down, self.stopped = False, Event()
+        self.down = False
         super().__init__(now)
 
     def play(self, connection, message):
--- a/cartdeal/rig/stands.py
+++ b/cartdeal/rig/stands.py
@@ -50,10 +50,13 @@
             except OSError:
                 return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = Connection(sock, answers=False, on_close=self.open.discard)
+            connection = self.connection(sock)
             self.open.add(connection)
             gevent.spawn(self.serve, connection)
 
+    def connection(self, sock) -> Connection:
+        return Connection(sock, answers=False, on_close=self.open.discard)
+
     def serve(self, connection):
         try:
             while not connection.closed and connection.receive(None):
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -10,9 +10,9 @@
 from gevent import socket
 
 from cartdeal.agent import configuration
-from cartdeal.agent.connection import Connection
 from cartdeal.agent.effects import Effects
 from cartdeal.balancer import Balancer
+from cartdeal.rig.soak.clients import ClientSide as Client
 from cartdeal.terms import BalancerSettings, Group, Listing, Outcome, Repeat, RequestClass, State
 from examples.toy import DiscoveryService, Server
 
@@ -192,15 +192,6 @@
     return configuration.read({"PROXY_CONFIG": str(file)})
 
 
-class Client(Connection):
-    """Takes several answers, one behind the other; a server's connection takes one at a time."""
-
-    def on_message_begin(self):
-        messages, self.messages = self.messages, []
-        super().on_message_begin()
-        self.messages = messages
-
-
 class Deployment:
     """Toy servers, a toy discovery service and an agent in one process; requests go in by `ask`."""
 
