--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -199,7 +199,7 @@
                     break
                 writer.write(data)
                 await writer.drain()
-                self.record(f"{self.uid} answered id={id} {data.split(b' ')[1].decode()}")
+                self.record(f"{self.uid} answered id={id} {data[:12]!r}")
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
