--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""A bad client sends the id of another client's open request, more than 5 s after that request was taken."""
+"""A hundred bad clients send two hundred requests each at once; the platform kills an agent over its memory limit."""
 
 import asyncio
+import socket
 import sys
-import time
+import threading
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -12,94 +13,120 @@
     CLOSE, READ, SUBMIT, TROUBLE, Agent, Backend, Client, Discovery, answer, main, request_bytes, settings,
 )  # fmt: skip
 
-LIMIT_MS = 6000  # the time limit of day-close
-SERVERS = 6  # one of them hangs: 17%
-SLOT_S = 0.05  # a usual client sends each so often
-PLAY_S = 30.0
-REPLAY_AFTER_S = 5.6
-BAD_CLIENT_LIMIT_MS = 2000
-HANG = (4.4, 14.4, 24.4)  # s-0 hangs from then on, for 8 s each, seconds after the first request
-HANG_S = 8.0
+LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
+LIMIT_MS = 2000
+ANSWER_SLACK_S = 0.5
+BAD_CLIENTS = 100  # under a third of the descriptors
+REQUESTS_AT_ONCE = 200
+HEAD_LINES = 200  # of 70 bytes: a head of 14 kB
+WATCH_S = 15.0
 
 
-async def play(record, temporary):
-    """Returns what was broken."""
-    started = time.monotonic()
+async def behave(backend, request, run):
+    """A sound server with 60 ms of work, as tally-read has."""
+    await asyncio.sleep(0.06)
+    run()
+    return answer(200, request.headers["x-request-id"].encode())
+
+
+def bad_client(port, number, record):
+    """Sends hundreds of requests at once at full speed, and reads what it is sent."""
+    filler = "".join(f"X-Field-{line:03d}: {'j' * 56}\r\n" for line in range(HEAD_LINES))
+    data = b"".join(
+        request_bytes("GET", "/tally-read/a", f"bad{number}-{each}", 1500, extra=filler)
+        for each in range(REQUESTS_AT_ONCE)
+    )
+    try:
+        with socket.create_connection(("127.0.0.1", port), 3.0) as sock:
+            threading.Thread(target=drain, args=(sock,), daemon=True).start()
+            sock.settimeout(6.0)
+            sock.sendall(data)
+        record(f"bad client {number} has sent {REQUESTS_AT_ONCE} requests and closes")
+    except OSError as error:
+        record(f"bad client {number} ends: {error}")
 
-    def is_hanging():
-        age = time.monotonic() - started
-        return TROUBLE and any(each <= age < each + HANG_S for each in HANG)
 
-    async def behave(backend, request, run):
-        """A server with 80 ms of work; s-0 hangs in the middle of its work at times, and goes on afterwards."""
-        await asyncio.sleep(0.08)
-        while backend.uid == "s-0" and is_hanging():
-            await asyncio.sleep(0.05)
-        run()
-        return answer(200, f"{request.headers['x-request-id']} {request.body.decode()}".encode())
+def drain(sock):
+    """Reads what a bad client is sent."""
+    try:
+        while sock.recv(65536):
+            pass
+    except OSError:
+        pass
+
+
+def memory_mb(agent):
+    """The resident memory of the agent in MB, as the platform sees it; 0 if it has ended."""
+    try:
+        lines = Path(f"/proc/{agent.process.pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    return sum(int(line.split()[1]) for line in lines if line.startswith("VmRSS:")) * 1024 / 1e6
 
+
+async def play(record, temporary):
+    """Returns what was broken."""
     discovery = Discovery(record)
     await discovery.start()
-    backends = [Backend(f"s-{number}", record, behave) for number in range(SERVERS)]
+    backends = [Backend(f"s-{number}", record, behave) for number in range(3)]
     for backend in backends:
         await backend.start()
         discovery.entries[backend.uid] = backend.entry()
-    agent = Agent("n1", temporary, record, discovery, settings([READ, SUBMIT, CLOSE]))
+    agent = Agent("n1", temporary, record, discovery, settings([READ, SUBMIT, CLOSE]), limits=LIMITS)
     agent.start()
-    breaks, open_ids = [], {}
-
-    async def usual_client(number):
-        id, client = f"close-{number}", Client(agent, record, f"usual{number}")
-        open_ids[id] = time.monotonic()
-        data = request_bytes("POST", f"/day-close/{number}", id, LIMIT_MS, body=b"usual")
-        found = await client.ask(data, id, LIMIT_MS / 1000 + 0.5, "POST /day-close")
-        del open_ids[id]
-        client.close()
-        if found is None:
-            breaks.append(f"No lookup is lost: {id} has no answer")
-
-    async def bad_clients():
-        """Sends the ids of requests that have been open for long, each once."""
-        done = set()
-        while True:
-            for id, since in list(open_ids.items()):
-                if id not in done and time.monotonic() > since + REPLAY_AFTER_S:
-                    done.add(id)
-                    tasks.append(asyncio.create_task(bad_client(id, since)))
-            await asyncio.sleep(0.02)
-
-    async def bad_client(id, since):
-        client = Client(agent, record, f"bad-{id}")
-        data = request_bytes("POST", "/day-close/other", id, BAD_CLIENT_LIMIT_MS, body=b"bad")
-        open_for = time.monotonic() - since
-        found = await client.ask(data, id, 3.0, f"POST /day-close (open for {open_for:.2f} s)")
-        client.close()
-        if found and found.status == 200:
-            breaks.append(
-                f"a bad client with the id of {id}, open for {open_for:.2f} s, was served with {found.body!r}"
-            )
+    breaks, ending, peak, asked = [], False, 0.0, 0
+
+    async def usual_client(name):
+        nonlocal asked
+        client, number = Client(agent, record, name), 0
+        while not ending:
+            number += 1
+            asked += 1
+            id = f"{name}-{number}"
+            found = await client.ask(
+                request_bytes("GET", f"/tally-read/{number}", id, LIMIT_MS, sid=name),
+                id, LIMIT_MS / 1000 + ANSWER_SLACK_S, "GET /tally-read",
+            )  # fmt: skip
+            if found is None:
+                record(f"LOST {id}")
+                return
+            await asyncio.sleep(0.1)
+
+    async def platform():
+        """Kills the agent over its memory limit, as the deployment page says."""
+        nonlocal peak
+        while not ending:
+            used = memory_mb(agent)
+            if used > peak + 1:
+                record(f"the agent uses {used:.1f} MB")
+            peak = max(peak, used)
+            if used > LIMITS["memory_mb"] and not breaks:
+                breaks.append(f"killed for memory: {used:.1f} MB with a limit of {LIMITS['memory_mb']} MB")
+                record(breaks[-1])
+                agent.process.kill()
+            await asyncio.sleep(0.01)
 
     try:
         await agent.until_ready()
-        started, tasks = time.monotonic(), []
-        replays = asyncio.create_task(bad_clients()) if TROUBLE else None
-        for number in range(int(PLAY_S / SLOT_S)):
-            tasks.append(asyncio.create_task(usual_client(number)))
-            await asyncio.sleep(max(0.0, started + (number + 1) * SLOT_S - time.monotonic()))
-        await asyncio.sleep(LIMIT_MS / 1000 + 1)
-        if replays:
-            replays.cancel()
-        await asyncio.gather(*tasks)
+        tasks = [asyncio.create_task(usual_client(f"usual{number}")) for number in range(4)]
+        tasks.append(asyncio.create_task(platform()))
         await asyncio.sleep(3.0)
+        record(f"before the disruption the agent uses {memory_mb(agent):.1f} MB")
+        if TROUBLE:
+            record(f"{BAD_CLIENTS} bad clients come, {REQUESTS_AT_ONCE} requests each at once")
+            for number in range(BAD_CLIENTS):
+                threading.Thread(target=bad_client, args=(agent.port, number, record), daemon=True).start()
+                await asyncio.sleep(0.01)
+        for _ in range(int(WATCH_S)):
+            await asyncio.sleep(1.0)
+            if breaks:
+                break
+        await asyncio.sleep(1.0)
+        ending = True
+        await asyncio.gather(*tasks)
     finally:
         agent.end()
-    runs = {}
-    for backend in backends:
-        for _, id, _ in backend.ran:
-            runs.setdefault(id, []).append(backend.uid)
-    for id, places in runs.items():
-        if len(places) > 1:
-            breaks.append(f"No effect happens twice: {id} ran at {places}")
+    record(f"peak {peak:.1f} MB; {asked} requests of usual clients")
     return breaks
 
 
