--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -351,6 +351,7 @@
     """Runs the coroutine `play(record, temporary_folder)`, which returns the list of breaks."""
     import tempfile
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # agents are ended by the cases' `finally`
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
     with tempfile.TemporaryDirectory() as temporary:
