--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A hundred bad clients send two hundred requests each at once; the platform kills an agent over its memory limit."""
+"""A hundred and fifty bad clients send two hundred requests each at once; the platform kills an agent over its memory limit."""
 
 import asyncio
 import socket
@@ -16,7 +16,7 @@
 LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
 LIMIT_MS = 2000
 ANSWER_SLACK_S = 0.5
-BAD_CLIENTS = 100  # under a third of the descriptors
+BAD_CLIENTS = 150  # with the usual ones under a third of the descriptors
 REQUESTS_AT_ONCE = 200
 HEAD_LINES = 200  # of 70 bytes: a head of 14 kB
 WATCH_S = 15.0
@@ -29,13 +29,17 @@
     return answer(200, request.headers["x-request-id"].encode())
 
 
-def bad_client(port, number, record):
-    """Sends hundreds of requests at once at full speed, and reads what it is sent."""
+def requests_of(number):
+    """The requests that a bad client sends at once."""
     filler = "".join(f"X-Field-{line:03d}: {'j' * 56}\r\n" for line in range(HEAD_LINES))
-    data = b"".join(
+    return b"".join(
         request_bytes("GET", "/tally-read/a", f"bad{number}-{each}", 1500, extra=filler)
         for each in range(REQUESTS_AT_ONCE)
     )
+
+
+def bad_client(port, number, record, data):
+    """Sends hundreds of requests at once at full speed, and reads what it is sent."""
     try:
         with socket.create_connection(("127.0.0.1", port), 3.0) as sock:
             threading.Thread(target=drain, args=(sock,), daemon=True).start()
@@ -66,6 +70,7 @@
 
 async def play(record, temporary):
     """Returns what was broken."""
+    prepared = [requests_of(number) for number in range(BAD_CLIENTS)] if TROUBLE else []
     discovery = Discovery(record)
     await discovery.start()
     backends = [Backend(f"s-{number}", record, behave) for number in range(3)]
@@ -114,9 +119,10 @@
         record(f"before the disruption the agent uses {memory_mb(agent):.1f} MB")
         if TROUBLE:
             record(f"{BAD_CLIENTS} bad clients come, {REQUESTS_AT_ONCE} requests each at once")
-            for number in range(BAD_CLIENTS):
-                threading.Thread(target=bad_client, args=(agent.port, number, record), daemon=True).start()
-                await asyncio.sleep(0.01)
+            for number, data in enumerate(prepared):
+                arguments = (agent.port, number, record, data)
+                threading.Thread(target=bad_client, args=arguments, daemon=True).start()
+                await asyncio.sleep(0.005)
         for _ in range(int(WATCH_S)):
             await asyncio.sleep(1.0)
             if breaks:
