--- a/review/1/case.py
+++ b/review/1/case.py
@@ -125,4 +125,4 @@
 
 
 if __name__ == "__main__":
-    main(FOLDER, play)
+    main(sys.argv[1] if len(sys.argv) > 1 else FOLDER / "record.txt", play)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -25,9 +25,9 @@
 class Record:
     """The record of what was sent, answered and run; each line begins with the seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started = time.monotonic()
-        self.file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, text):
         """Writes one line."""
@@ -347,12 +347,12 @@
             self.writer = None
 
 
-def main(folder, play):
-    """Runs the coroutine `play(record, temporary_folder)`, which returns the list of breaks."""
+def main(path, play):
+    """Runs the coroutine `play(record, temporary_folder)`, which returns the list of breaks; the record goes to `path`."""
     import tempfile
 
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # agents are ended by the cases' `finally`
-    record = Record(folder)
+    record = Record(path)
     record(f"TROUBLE={int(TROUBLE)}")
     with tempfile.TemporaryDirectory() as temporary:
         try:
