Drop the deferred input of a client's connection when its input is discarded

Callers saw an agent that answers nobody any more, uses a whole core and ignores SIGTERM, after some clients that sent a usual request, one of an unknown class and one with 60 MB at once and closed. Where such a client stayed, its second and third requests got no answer.

Cause: discard_requests loops while `unparsed` is not empty, and a connection whose input is discarded never took from it: receive read the socket, returned false at once on a closed connection, without a yield, or raised BlockingIOError, which ended the greenlet that writes the answers. The third request's refusal (413) left its deferred input in `unparsed`.

Ruled out: the discarding of 60 MB alone, which yields, and the close alone.

Both tests failed before: "computes for over 5 s", and BlockingIOError with no second answer.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -155,7 +155,7 @@
         self.mid_message = False  # whether a message has begun and is not complete
         self.message = Message()
         self.messages = []  # complete messages that the owner has not taken yet
-        self.unparsed = b""  # requests that were read but not parsed, so that their reader can pause
+        self.unparsed = b""  # requests that were read but not parsed; empty once input is discarded
         self.parse_error = None
         self.unsent = b""  # written data that the socket has not accepted yet
         self.writer = None  # the greenlet that writes `unsent`
@@ -410,7 +410,8 @@
         if self.ends_after_write:
             return
         self.ends_after_write = is_last
-        self.discards_input |= is_last
+        if is_last:
+            self.discard_input()
         if not self.writer:
             try:
                 data = data[os.write(self.sock.fileno(), data) :]
@@ -461,7 +462,8 @@
         """
         if self.half_closed or self.closed:
             return
-        self.half_closed = self.ends_after_write = self.discards_input = True
+        self.half_closed = self.ends_after_write = True
+        self.discard_input()
         self.discarded_bytes = 0
         try:
             self.sock.shutdown(socket.SHUT_WR)
@@ -469,6 +471,10 @@
             return self.close()
         self.on_half_close(self)
 
+    def discard_input(self):
+        """Discards all input from now on, also what was read and is not parsed yet."""
+        self.discards_input, self.unparsed = True, b""
+
     def has_unread_input(self) -> bool:
         """Whether input, or the peer's end, has been received but not read."""
         return bool(self.unparsed) or self.has_event(select.POLLIN)
@@ -496,6 +502,7 @@
         """Closes the socket and returns what was claimed from the budget."""
         if not self.closed:
             self.closed = True
+            self.discard_input()
             self.release_parser()
             self.release_body_memory()
             if self.half_closed:
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -345,7 +345,8 @@
     def refuse_further_input(self, client: ClientConnection, error: MalformedMessageError):
         """Discards further input; complete requests before the error are still answered."""
         log.info("refused", extra={"status": error.status, "reason": str(error)})
-        client.refusal, client.discards_input = error, True
+        client.refusal = error
+        client.discard_input()
         if client.end_reason is EndReason.PEER_CLOSED:
             client.end_reason = EndReason.REFUSED
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures for tests with real connections, and the handling of tests that are known to fail."""
 
+import signal
+
 import gevent
 import pytest
 
@@ -29,6 +31,20 @@
         yield
 
 
+@pytest.fixture
+def busy_loop_bounded():
+    """Fails a test that computes for 5 s, also in a loop that never yields to other greenlets."""
+
+    def stop_loop(signal_number, frame):
+        raise AssertionError("computes for over 5 s")
+
+    previous = signal.signal(signal.SIGVTALRM, stop_loop)
+    signal.setitimer(signal.ITIMER_VIRTUAL, 5.0)
+    yield
+    signal.setitimer(signal.ITIMER_VIRTUAL, 0.0)
+    signal.signal(signal.SIGVTALRM, previous)
+
+
 @pytest.fixture
 def deploy(tmp_path):
     """Creates deployments and stops them when the test ends."""
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -212,6 +212,41 @@
     assert deployment.received_paths() == ["/read/first"]
 
 
+LONG_BODY_LINES = b"a line of a body that is far too long\n" * 200  # read together with the heads before it
+
+
+def send_request_with_too_long_body(deployment):
+    """A valid request, one of an unknown class and one with a body of 60 MB, sent at once.
+
+    Returns the connection and the agent's end of it, once the last request has been refused.
+    """
+    connection = deployment.connect()
+    heads = encode_request("/read/first?do=wait") + encode_request("/none/x")
+    heads += encode_request("/once/x", "POST", Content_Length=60_000_000)
+    connection.sock.sendall(heads + LONG_BODY_LINES)
+    until(deployment.received_paths)
+    (client,) = deployment.agent.front.clients
+    until(lambda: client.discards_input)
+    return connection, client
+
+
+def test_rejecting_a_request_before_a_refused_one_answers_both(deployment, busy_loop_bounded):
+    """Guards against the loss of both answers: their greenlet died as it read an empty socket."""
+    connection, _ = send_request_with_too_long_body(deployment)
+    deployment.servers[0].released.set()
+    assert [read_answer(connection)[0] for _ in range(3)] == [200, 404, 503]
+    assert read_answer(connection) is None
+
+
+def test_rejecting_a_request_of_a_closed_connection_ends(deployment, busy_loop_bounded):
+    """Guards against an agent that hangs: it read a closed connection for ever, without a yield."""
+    connection, client = send_request_with_too_long_body(deployment)
+    client.close()
+    deployment.agent.front.reject_request(client, front.READ_TIMEOUT_ERROR)
+    assert deployment.ask("/read/other")[0] == 200
+    connection.close()
+
+
 def test_timeout_runs_while_earlier_pipelined_requests_are_served(deployment, clock):
     """The second request waits 200 of its 300 ms; the third one times out before its turn."""
     connection = deployment.connect()
