--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -236,9 +236,7 @@
         deployment.connect()
 
 
-def test_clients_that_keep_connecting_do_not_hold_up_the_shutdown(
-    deployment, monkeypatch, busy_loop_bounded
-):
+def test_clients_that_keep_connecting_do_not_hold_up_the_shutdown(deployment, monkeypatch, busy_loop_bounded):
     """Guards against a shutdown that accepts clients without a yield for as long as more of them come."""
     agent = deployment.agent.front
     monkeypatch.setattr(agent, "accept_queued_client", lambda deadline: True)
