Pass the end of an attempt that never ran before a due deadline timer

Cause: Effects.dispatch runs due timers before the event. An agent that reads the end of an unwritten attempt over 20 ms late has the request's deadline timer due by then, which fails the request, although the result at hand proves that it never ran. The log of a failed run: "attempt ended", note "overdue", then "not served".

Ruled out: the change of deferred input (the request never passes there).

Change: the end of an attempt that provably never ran goes first; the balancer then rejects as it does in time. All other events still follow the due timers. The new test makes the order happen each time; without the change it has 502.

--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -20,9 +20,10 @@
 from cartdeal.agent.discovery import DiscoveryClient
 from cartdeal.agent.front import FrontServer
 from cartdeal.agent.metrics import REPORT_INTERVAL_S, Metrics
-from cartdeal.agent.reducer import Reducer
+from cartdeal.agent.reducer import AttemptResult, Reducer
 from cartdeal.agent.stalls import StallDetector
 from cartdeal.agent.upstream import UpstreamPool
+from cartdeal.balancer_types import LoadReport
 from cartdeal.sockets import bind_socket
 from cartdeal.supervision import supervise
 
@@ -69,7 +70,12 @@
             self.stalls,
         )
         self.upstream = UpstreamPool(
-            config, self.dispatch, self.budget, self.may_send, self.on_attempt_started
+            config,
+            self.dispatch,
+            self.budget,
+            self.may_send,
+            self.on_attempt_started,
+            self.on_attempt_ended,
         )
         self.budget.closers.append(self.front.close_slowest)  # the last resort, because it costs a request
         self.discovery = DiscoveryClient(config, self.dispatch, lambda: self.reducer.list_version)
@@ -219,6 +225,19 @@
         self.reducer.on_attempt_started(request, attempt, server, timeout_sent)
         self.run_effects()
 
+    def on_attempt_ended(
+        self, request: int, server: int, attempt: int, result: AttemptResult, load: LoadReport | None
+    ):
+        """Pass the end of an attempt to the reducer.
+
+        One that provably never ran precedes the timers that are due. In an agent that runs late, the timer of
+        the deadline would otherwise fail a request that may still be rejected.
+        """
+        if result.outcome().never_ran:
+            self.run_event("on_attempt_ended", (request, server, attempt, result, load))
+        else:
+            self.dispatch("on_attempt_ended", request, server, attempt, result, load)
+
     def on_connection_closed(self, reason: str, unanswered: int, peer_ended: bool):
         """A client's connection is closed; `unanswered` requests on it were read at least in part."""
         self.metrics.count("clients_closed_" + reason)
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -78,13 +78,23 @@
     Spans are seconds, and times are monotonic seconds.
     """
 
-    def __init__(self, config, dispatch, budget: ConnectionBudget, may_send, on_attempt_started):
+    def __init__(
+        self,
+        config,
+        dispatch,
+        budget: ConnectionBudget,
+        may_send,
+        on_attempt_started,
+        on_attempt_ended,
+    ):
         """`may_send(request, attempt, server)` tells whether an attempt may still be sent.
 
         `on_attempt_started(request, attempt, server, timeout_s)` is called right before its first byte, with
-        the timeout that the server is told.
+        the timeout that the server is told. `on_attempt_ended(request, server, attempt, result, load)` is
+        called once for each attempt.
         """
         self.may_send, self.on_attempt_started = may_send, on_attempt_started
+        self.on_attempt_ended = on_attempt_ended
         permissions = config.settings.permissions
         self.dispatch, self.budget = dispatch, budget
         self.connect_timeout = seconds(permissions.connect_timeout_us) or DEFAULT_CONNECT_TIMEOUT_S
@@ -169,8 +179,7 @@
             # The other connections may be broken too, and a request that is sent on one of them may be
             # impossible to repeat.
             self.close_idle(server)
-        self.dispatch(
-            "on_attempt_ended",
+        self.on_attempt_ended(
             request_number,
             server,
             attempt_number,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,5 +1,6 @@
 """Changes between the selection of a server and the first byte of the attempt there."""
 
+from heapq import heappush
 from types import SimpleNamespace
 
 import gevent
@@ -166,6 +167,20 @@
     assert deployment.received_paths() == ["/once/y"]
 
 
+def test_late_agent_rejects_a_request_whose_attempt_never_ran(deployment, narrow):
+    """Guards against a 502 where a deadline and the end of an unwritten attempt are handled late together."""
+    agent, client = deployment.agent, deployment.connect()
+    client.sock.sendall(encode_request("/once/x", "POST", bytes(60000), X_Timeout="15000m"))
+    attempts = agent.upstream.attempts
+    until(lambda: attempts and next(iter(attempts.values())).progress is Progress.PARTLY_WRITTEN)
+    ((number, attempt),) = attempts
+    agent.reducer.requests[number].deadline = agent.reducer.balancer.requests[number].deadline = 0.0
+    heappush(agent.timers, (0.0, 0, "on_deadline_passed", number))
+    result = AttemptResult(AttemptEndReason.TIMED_OUT, Progress.PARTLY_WRITTEN, 0.3)
+    agent.on_attempt_ended(number, 0, attempt, result, None)
+    assert read_answer(client)[0] == 503
+
+
 @pytest.mark.parametrize(
     "how", [socket.socket.close, lambda sock: sock.shutdown(socket.SHUT_WR)], ids=["closes", "ends its side"]
 )
