Follow the callback of an attempt's end in a test of system calls

The test wrapped the pool's dispatch, which attempts' ends no longer pass since; it failed there. It wraps the callback now, with the same assertions.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -112,10 +112,10 @@
     """ETIMEDOUT is a TimeoutError in Python, but means that TCP has given up the connection."""
     results = []
     pool: UpstreamPool = deployment.agent.upstream
-    dispatch = pool.dispatch
-    pool.dispatch = lambda event, *arguments: (
+    on_attempt_ended = pool.on_attempt_ended
+    pool.on_attempt_ended = lambda *arguments: (
         results.append(arguments[3]),
-        dispatch(event, *arguments),
+        on_attempt_ended(*arguments),
     )
     faults.fail("recv_into", errno.ETIMEDOUT, times=1, only=to_servers(deployment))
     assert deployment.ask("/once/x", "POST")[0] == 502
