Count all that a connection's peer makes the agent hold against its memory

Callers saw their agent killed for memory, with all its open requests, while other clients sent hundreds of requests with long heads at once.

Cause: 16 requests of a connection are read ahead, each with a head of up to 16 kB and all its headers; connection_capacity reckons with 0.03 MB a connection, and only bodies of over 4 kB were charged to the budget. Ruled out: the connections themselves (12 to 16 kB each) and the parser.

Change: a MemoryClaim for each connection accounts message by message and claims what goes beyond 12 kB from the agent's budget; too little left is a 503, as for long bodies before. Reading ahead pauses at 32 kB of queued requests, too. Headers that the agent does not read are not kept. The same cause elsewhere: input that is read and not parsed, answers that a client does not read, and claims that were only returned when no request of the connection was left.

Two tests waited for a queue that the new bound does not allow (16 requests with bodies of 64 kB; eight of 65 kB): they wait for a full queue now, and assert the same. One attribute is renamed in a test.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -1,4 +1,4 @@
-"""A connection: its socket, its receive buffer and its HTTP parser; and the budget for all connections.
+"""A connection: its socket, its receive buffer and its HTTP parser.
 
 Only this module decides whether bytes form a valid message, for requests and responses alike. The buffer
 grows as needed, and the bytes of a body are moved down over their framing, so that the body is contiguous in
@@ -14,15 +14,17 @@
 import gevent
 import httptools
 from gevent import socket
-from gevent.event import Event
 
+from cartdeal.agent.connection_budget import ConnectionBudget, MemoryClaim
 from cartdeal.agent.system_errors import RETRY_PAUSE_S, is_transient
 
 MAX_HEAD_BYTES = 16384  # the head of a message, including interim responses before it
 MAX_FRAMING_BYTES_PER_BODY_BYTE = 8  # for chunk headers, extensions and trailers
 MAX_BODY_BYTES = 65536
 MIN_READ_SPACE_BYTES = 4096  # free space in the buffer before each read
-MAX_BODY_COPIES = 3  # copies of a long body: in the buffer, on its own, and behind its head
+MESSAGE_OVERHEAD_BYTES = 1024  # memory of a message beside its head's and its body's bytes
+HEAD_COPIES = 2  # in memory: on its own, and encoded for the other side
+BODY_COPIES = 3  # in memory: in the buffer, on its own, and behind its head
 # A read with more lines than this may hold many requests and is parsed in pieces of PARSED_PIECE_BYTES.
 MAX_LINES_PARSED_AT_ONCE = 32
 PARSED_PIECE_BYTES = 512
@@ -35,7 +37,7 @@
 class Message:
     """A complete request or response."""
 
-    __slots__ = ("method", "path", "status", "headers", "body", "keep_alive", "came_at")
+    __slots__ = ("method", "path", "status", "headers", "body", "keep_alive", "came_at", "memory_bytes")
 
     def __init__(self):
         self.method = b""
@@ -45,6 +47,7 @@
         self.body = b""
         self.keep_alive = True
         self.came_at = 0.0  # monotonic time in seconds of its last byte; set by ClientConnection
+        self.memory_bytes = 0  # that its connection holds for it
 
 
 DISCARD_BUFFER = bytearray(65536)  # receives input that is not parsed
@@ -74,36 +77,6 @@
         return if_unknown
 
 
-class ConnectionBudget:
-    """Limits the number of connections, and the bytes of long bodies on them.
-
-    At the limit, `closers` are called in order to close idle connections. `capacity_freed` is set when a
-    connection is closed or becomes idle.
-    """
-
-    def __init__(self, max_connections: int, long_body_bytes: int):
-        self.max_connections, self.connection_count, self.closers, self.capacity_freed = (
-            max_connections,
-            0,
-            [],
-            Event(),
-        )
-        self.long_body_bytes = long_body_bytes  # not claimed by any connection
-
-    def acquire(self, spare_count: int = 0) -> bool:
-        """Reserves a connection and leaves `spare_count` free; false if none can be made available."""
-        while self.connection_count + spare_count >= self.max_connections:
-            if not any(close() for close in self.closers):
-                return False
-        self.connection_count += 1
-        return True
-
-    def release(self):
-        """Returns the reservation of a connection."""
-        self.connection_count -= 1
-        self.capacity_freed.set()
-
-
 class Connection:
     """A connection that parses HTTP requests or responses and writes the other kind.
 
@@ -111,6 +84,9 @@
     when the descriptor is free again.
     """
 
+    # Lower-case names of the headers that are kept, beside those that may frame a message; None for all.
+    kept_headers: frozenset[bytes] | None = None
+
     def __init__(
         self,
         sock,
@@ -135,8 +111,8 @@
             max_body_bytes,
         )
         self.on_half_close = on_half_close
-        self.budget, self.claimed_bytes = budget, 0  # bytes claimed from the budget for long bodies
-        self.message_claim_bytes = 0  # the part of claimed_bytes for the current message
+        self.memory = MemoryClaim(budget)
+        self.head_bytes = 0  # of the current message's path and kept headers
         self.parser = (httptools.HttpResponseParser if reads_responses else httptools.HttpRequestParser)(self)
         self.buffer = bytearray(MIN_READ_SPACE_BYTES)
         self.view = memoryview(self.buffer)
@@ -206,6 +182,8 @@
         if self.mid_message and self.message.headers.get(FRAMING_HEADERS[1]):
             self.check_chunk_size()
         self.input_at_first_chunk = None
+        if self.mid_message and not self.is_head_complete:
+            self.hold_message(0)
         if self.framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * self.body_bytes:
             # Framing is counted up to the end of the message, since trailers and tiny chunks could go on
             # forever.
@@ -228,7 +206,10 @@
 
     def take_unparsed(self) -> int:
         """Copies the next piece of deferred input to where a read would put it; returns its length."""
+        if not self.unparsed:
+            return 0
         piece, self.unparsed = self.unparsed[:PARSED_PIECE_BYTES], self.unparsed[PARSED_PIECE_BYTES:]
+        self.memory.change(-len(piece))
         self.view[self.body_end : self.body_end + len(piece)] = piece
         return len(piece)
 
@@ -245,6 +226,7 @@
         ):
             return count
         self.unparsed = bytes(self.view[self.body_end + PARSED_PIECE_BYTES : end])
+        self.memory.change(len(self.unparsed))
         return PARSED_PIECE_BYTES
 
     def resize_buffer(self):
@@ -269,29 +251,32 @@
             raise self.record_error(502, "more than the answer")
         self.message, self.body_end, self.mid_message, self.is_head_complete = Message(), 0, True, False
         self.is_close_delimited = False
-        self.message_claim_bytes, self.partial_line, self.chunk_bytes = 0, b"", None
-        if self.all_messages_handled():
-            self.release_body_memory()
-
-    def all_messages_handled(self) -> bool:
-        """Whether no received message is pending, so that the memory of the last body can be released."""
-        return not self.messages
+        self.partial_line, self.chunk_bytes, self.head_bytes = b"", None, 0
+        self.hold_message(0)
 
     def on_url(self, part: bytes):
         """Appends a part of the request's path."""
         self.message.path += part
+        self.head_bytes += len(part)
 
     def on_header(self, name: bytes, value: bytes):
         """Stores a header under its lower-case name; the values of a repeated one are joined by commas."""
         if self.is_head_complete:
             return  # a trailer must not replace a header that has already been acted on
         name, headers = name.lower(), self.message.headers
+        if not self.is_kept_header(name):
+            return
         # The parser leaves trailing whitespace in a value. A tab after a transfer coding is kept, because the
         # parser doesn't recognise that coding, and stripping it would frame the message differently here.
         value = value.rstrip(b" " if name in FRAMING_HEADERS else b" \t")
         # The joined values of a repeated header match no single-value format, so that neither the first nor
         # the last one is used.
         headers[name] = headers[name] + b", " + value if name in headers else value
+        self.head_bytes += len(name) + len(value)
+
+    def is_kept_header(self, name: bytes) -> bool:
+        """Whether a header is kept: its reader may need it, or it may frame the message."""
+        return self.kept_headers is None or name in self.kept_headers or bool(AMBIGUOUS_FRAMING.match(name))
 
     def on_headers_complete(self):
         """Checks the head and how it frames the body."""
@@ -358,22 +343,28 @@
             self.partial_line, self.chunk_bytes = b"", 0
 
     def check_size(self, size: int):
-        """Checks the body's size against the limit, and claims budget for a long one."""
+        """Checks the body's size against the limit, and claims memory for the message."""
         if size > self.max_body_bytes:
             raise self.record_error(413, f"a body of over {self.max_body_bytes} bytes")
-        claim_bytes = MAX_BODY_COPIES * size - self.message_claim_bytes
-        if self.budget and size > MIN_READ_SPACE_BYTES and claim_bytes > 0:
-            if claim_bytes > self.budget.long_body_bytes:
-                raise self.record_error(503, "no memory for so long a body")
-            self.budget.long_body_bytes -= claim_bytes
-            self.message_claim_bytes += claim_bytes
-            self.claimed_bytes += claim_bytes
-
-    def release_body_memory(self):
-        """Returns the bytes claimed for long bodies to the budget."""
-        if self.claimed_bytes:
-            self.budget.long_body_bytes += self.claimed_bytes
-            self.claimed_bytes = self.message_claim_bytes = 0
+        self.hold_message(size)
+
+    def hold_message(self, body_bytes: int):
+        """Claims the memory of the current message, as far as it is known.
+
+        Raises MalformedMessageError if the budget has too little left.
+        """
+        memory_bytes = MESSAGE_OVERHEAD_BYTES + HEAD_COPIES * self.head_bytes + BODY_COPIES * body_bytes
+        growth = memory_bytes - self.message.memory_bytes
+        if growth <= 0:
+            return
+        if not self.memory.grow(growth):
+            raise self.record_error(503, "no memory for so long a message")
+        self.message.memory_bytes = memory_bytes
+
+    def release_message(self, message: Message):
+        """Returns the memory of a message that is handled."""
+        self.memory.change(-message.memory_bytes)
+        message.memory_bytes = 0
 
     def record_error(self, status: int, message: str) -> MalformedMessageError:
         """Stores and returns an error to be raised in a callback."""
@@ -389,7 +380,9 @@
         message.keep_alive = not self.is_close_delimited and self.parser.should_keep_alive()
         message.body = bytes(self.view[: self.body_end])
         self.body_end = 0
-        if not (self.reads_responses and 100 <= message.status < 200):
+        if self.reads_responses and 100 <= message.status < 200:
+            self.release_message(message)
+        else:
             self.messages.append(message)
 
     def take_lines(self) -> list[bytes]:
@@ -420,6 +413,7 @@
                     self.write_failed = True
                     return self.close()
         self.unsent += data
+        self.memory.change(len(data))
         if self.unsent and not self.writer:
             self.writer = gevent.spawn(self.write_rest)
         elif self.ends_after_write and not self.unsent:
@@ -431,6 +425,7 @@
             while self.unsent:
                 data, self.unsent = self.unsent, b""
                 self.write_all(data)
+                self.memory.change(-len(data))
         except OSError:
             self.write_failed = True
             return self.close()
@@ -473,6 +468,7 @@
 
     def discard_input(self):
         """Discards all input from now on, also what was read and is not parsed yet."""
+        self.memory.change(-len(self.unparsed))
         self.discards_input, self.unparsed = True, b""
 
     def has_unread_input(self) -> bool:
@@ -504,7 +500,7 @@
             self.closed = True
             self.discard_input()
             self.release_parser()
-            self.release_body_memory()
+            self.memory.release()
             if self.half_closed:
                 self.discard_unread()
             self.sock.close()
--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -16,7 +16,7 @@
 from msgspec.structs import replace
 
 from cartdeal.agent import configuration
-from cartdeal.agent.connection import ConnectionBudget
+from cartdeal.agent.connection_budget import ConnectionBudget
 from cartdeal.agent.discovery import DiscoveryClient
 from cartdeal.agent.front import FrontServer
 from cartdeal.agent.metrics import REPORT_INTERVAL_S, Metrics
@@ -34,8 +34,8 @@
 MAX_RELOAD_RETRIES = 8  # of reading a configuration file, if the agent lacks resources for it
 RELOAD_RETRY_DELAY_S = 0.25
 BASE_MEMORY_MB = 18.0  # of the agent before its first connection, with a margin
-CONNECTION_MEMORY_MB = 0.03  # of a connection with its request or attempt, except a long body
-LONG_BODY_SHARE = 0.4  # of the remaining memory, for long bodies
+CONNECTION_MEMORY_MB = 0.03  # of a connection with its request or attempt, except what it claims
+MESSAGE_SHARE = 0.4  # of the remaining memory, for what connections claim
 
 log = logging.getLogger("cartdeal.agent")
 
@@ -341,10 +341,10 @@
 
 
 def connection_capacity(limits, admission=None) -> tuple[int, int]:
-    """Return the limits of connections and of bytes for long bodies, without admission control's share."""
+    """Return the limits of connections and of the bytes that they claim, less admission control's share."""
     memory_mb = limits.memory_mb - BASE_MEMORY_MB - (admission.reserved_memory_mb if admission else 0.0)
     descriptors = (
         limits.descriptors - RESERVED_DESCRIPTORS - (admission.reserved_descriptors if admission else 0)
     )
-    connections = min(descriptors, (1 - LONG_BODY_SHARE) * memory_mb / CONNECTION_MEMORY_MB)
-    return int(connections), int(LONG_BODY_SHARE * memory_mb * 1e6)
+    connections = min(descriptors, (1 - MESSAGE_SHARE) * memory_mb / CONNECTION_MEMORY_MB)
+    return int(connections), int(MESSAGE_SHARE * memory_mb * 1e6)
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -26,7 +26,8 @@
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, ConnectionBudget, MalformedMessageError, is_ready
+from cartdeal.agent.connection import Connection, MalformedMessageError, Message, is_ready
+from cartdeal.agent.connection_budget import ConnectionBudget
 from cartdeal.agent.reducer import Request
 from cartdeal.agent.stalls import StallDetector
 from cartdeal.agent.system_errors import RETRY_PAUSE_S, is_own_limit
@@ -49,7 +50,9 @@
 MAX_CLIENT_SHARE = 0.6
 MAX_STATED_TIMEOUT_S = 60.0  # longer values of X-Timeout are reduced to this
 AGENT_MARGIN_S = 0.01  # part of a request's timeout that is reserved for the agent's own work
-MAX_PIPELINED_REQUESTS = 16  # queued requests of a connection at which reading from it pauses
+# Reading from a connection pauses while this many of its requests, or this much memory of them, is queued.
+MAX_PIPELINED_REQUESTS = 16
+MAX_PIPELINED_BYTES = 32 * 1024
 UNREAD_POLL_INTERVAL_S = 0.05  # between checks for unread input while reading is paused
 
 REASON_PHRASES = {
@@ -66,6 +69,19 @@
     503: b"Service Unavailable",
     505: b"HTTP Version Not Supported",
 }
+# The headers of a request that the agent reads.
+REQUEST_HEADERS = frozenset(
+    (
+        b"content-type",
+        b"cookie",
+        b"expect",
+        b"idempotency-key",
+        b"x-request-id",
+        b"x-retried",
+        b"x-tenant-id",
+        b"x-timeout",
+    )
+)
 CLOSE_HEADER = b"Connection: close\r\n"
 NO_CAPACITY_ERROR = MalformedMessageError(503, "no room")
 SHUTDOWN_ERROR = MalformedMessageError(503, "the agent ends")
@@ -98,6 +114,8 @@
     Durations are in seconds, and times are monotonic seconds.
     """
 
+    kept_headers = REQUEST_HEADERS
+
     def __init__(self, sock, on_close, budget, on_half_close, on_written, stalls):
         super().__init__(
             sock,
@@ -109,6 +127,7 @@
         )
         self.stalls: StallDetector = stalls
         self.request_number, self.awaits_answer, self.keep_alive, self.is_identified = 0, False, True, False
+        self.handled_message: Message | None = None  # the message of the request being handled
         self.refusal = None  # an error that ends the connection once all requests before it are answered
         # The latest time at which the connection was accepted, began a request (if identified), got an
         # answer, or began to be refused or half-closed.
@@ -157,6 +176,32 @@
         came_at = self.stalls.earliest_arrival(monotonic())
         self.messages[-1].came_at = came_at if self.unread_since is None else min(came_at, self.unread_since)
 
+    def take_message(self) -> Message:
+        """Takes the next queued message; its memory is returned by `finish_message`."""
+        self.handled_message = self.messages.pop(0)
+        self.message_dequeued.set()
+        return self.handled_message
+
+    def finish_message(self):
+        """Returns the memory of the message being handled, once it is answered."""
+        if self.handled_message:
+            self.release_message(self.handled_message)
+            self.handled_message = None
+
+    def drop_messages(self) -> int:
+        """Drops the queued messages; returns their number."""
+        count = len(self.messages)
+        for message in self.messages:
+            self.release_message(message)
+        self.messages.clear()
+        return count
+
+    def has_full_queue(self) -> bool:
+        """Whether so many requests are queued that reading pauses."""
+        if len(self.messages) >= MAX_PIPELINED_REQUESTS:
+            return True
+        return sum(message.memory_bytes for message in self.messages) >= MAX_PIPELINED_BYTES
+
     def all_messages_handled(self) -> bool:
         """Whether no request is queued or awaits its answer."""
         return not (self.awaits_answer or self.messages)
@@ -326,8 +371,8 @@
             return True
 
     def wait_for_turn(self, client: ClientConnection) -> bool:
-        """Waits while MAX_PIPELINED_REQUESTS are queued; false if the client closes meanwhile."""
-        while len(client.messages) >= MAX_PIPELINED_REQUESTS and not client.discards_input:
+        """Waits while the queue of its requests is full; false if the client closes meanwhile."""
+        while client.has_full_queue() and not client.discards_input:
             client.message_dequeued.clear()
             client.message_dequeued.wait(UNREAD_POLL_INTERVAL_S)
             if client.closed or client.peer_ended():
@@ -383,15 +428,13 @@
 
     def discard_requests(self, client: ClientConnection) -> int:
         """Drops the requests that were read, including a partial one; returns their number."""
-        count = len(client.messages)
-        client.messages.clear()
+        count = client.drop_messages()
         while client.unparsed:
             try:
                 client.receive(0.0)
             except MalformedMessageError:
                 break
-            count += len(client.messages)
-            client.messages.clear()
+            count += client.drop_messages()
         return count + client.mid_message
 
     def start_next_request(self, client: ClientConnection):
@@ -406,14 +449,14 @@
                 client.peer_has_ended = True
                 # The client's close would otherwise be noticed only after this request has been started and
                 # an attempt may have been sent.
-                client.messages.clear()
+                client.drop_messages()
                 break
-            message = client.messages.pop(0)
-            client.message_dequeued.set()
+            message = client.take_message()
             client.keep_alive = message.keep_alive
             path = message.path.partition(b"?")[0]
             if path == b"/health/ready":
                 self.identify(client)
+                client.finish_message()
                 self.respond(client, 200 if self.ready() else 503)
                 continue
             try:
@@ -495,6 +538,7 @@
     ):
         """Answers the client's request; `retry_after`: seconds for Retry-After, 0 for none."""
         client.awaits_answer, client.last_active_at = False, monotonic()
+        client.finish_message()
         extra_headers = b"Content-Type: %b\r\n" % content_type if content_type else b""
         if retry_after:
             extra_headers += b"Retry-After: %.3f\r\n" % retry_after
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -13,7 +13,8 @@
 import msgspec
 from gevent import socket
 
-from cartdeal.agent.connection import Connection, ConnectionBudget, MalformedMessageError
+from cartdeal.agent.connection import Connection, MalformedMessageError
+from cartdeal.agent.connection_budget import ConnectionBudget
 from cartdeal.agent.reducer import AttemptEndReason, AttemptResult, Progress
 from cartdeal.agent.system_errors import (
     RETRY_PAUSE_S,
@@ -32,6 +33,7 @@
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_FACTOR = 2.0  # timeout of a probe as a multiple of the connect timeout
 SWEEP_INTERVAL_S = 1.0  # between searches for connections that have been idle too long
+RESPONSE_HEADERS = frozenset((b"content-type", b"x-not-processed", b"x-server-load"))
 
 ReportedValue = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
@@ -55,6 +57,23 @@
     recent_ms: ReportedValue | None = None
 
 
+class ServerConnection(Connection):
+    """A connection to a server."""
+
+    kept_headers = RESPONSE_HEADERS
+
+    def __init__(self, sock, address: str, budget: ConnectionBudget):
+        """`address`: that of the server, as in the list."""
+        super().__init__(
+            sock,
+            reads_responses=True,
+            on_close=lambda connection: budget.release(),
+            budget=budget,
+            allows_close_delimited=True,
+        )
+        self.address = address
+
+
 class Attempt:
     """A running attempt or probe: its connection and progress. Times are monotonic seconds."""
 
@@ -102,7 +121,7 @@
         self.report_settings = config.settings.load_reports
         self.probe_path = b"/health/live" if self.report_settings.source == "none" else b"/stats"
         # By server, not by address: another server at the same address inherits no connection.
-        self.idle: dict[int, list[Connection]] = {}
+        self.idle: dict[int, list[ServerConnection]] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # by the numbers of request and attempt
         self.last_read_at = -inf  # when input from any server was last read
         self.no_route_since: dict[int, float] = {}  # by server: when the machine first had no route to it
@@ -270,6 +289,7 @@
                 and not connection.has_surplus_input
                 and not attempt.is_cancelled
             ):
+                connection.release_message(answer)
                 self.keep_idle(server, connection)
             elif connection:
                 connection.close()
@@ -316,7 +336,7 @@
 
     # Connections
 
-    def take_idle(self, server: int, address: str) -> Connection | None:
+    def take_idle(self, server: int, address: str) -> ServerConnection | None:
         """Takes the newest reusable connection to a server; None if there is none.
 
         Connections found closed, idle for so long that the server may close them, or with unread input are
@@ -342,7 +362,7 @@
         if not self.idle[server]:
             del self.idle[server]
 
-    def connect(self, server: int, address: str, deadline: float) -> Connection:
+    def connect(self, server: int, address: str, deadline: float) -> ServerConnection:
         """Opens a connection; raises NoConnectionError, or OSError for a failure of the server or network.
 
         An attempt without a connection never ran: the balancer selects another server or rejects the request.
@@ -364,15 +384,7 @@
                 raise NoConnectionError(str(error)) from error
             raise
         self.no_route_since.pop(server, None)
-        connection = Connection(
-            sock,
-            True,
-            lambda connection: self.budget.release(),
-            budget=self.budget,
-            allows_close_delimited=True,
-        )
-        connection.address = address
-        return connection
+        return ServerConnection(sock, address, self.budget)
 
     def is_own_failure(self, server: int, error: OSError) -> bool:
         """Whether an error says nothing about the server.
@@ -387,10 +399,9 @@
             return False
         return True
 
-    def keep_idle(self, server: int, connection: Connection):
+    def keep_idle(self, server: int, connection: ServerConnection):
         """Keeps a connection for reuse."""
         connection.last_active_at = monotonic()
-        connection.release_body_memory()
         self.idle.setdefault(server, []).append(connection)
         self.budget.capacity_freed.set()
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -154,7 +154,7 @@
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
     for number in range(8):  # more than the system's buffers take
         connection.sock.sendall(encode_request(f"/mark/{number}", "POST", body, Idempotency_Key="k"))
-    until(lambda: client.writer and len(client.messages) + len(deployment.received_paths()) == 8)
+    until(lambda: client.writer and client.has_full_queue())
     agent.close(0.0)
     assert client.writer and not client.half_closed
     assert [read_answer(connection) for _ in range(8)] == [(200, b"s0 " + body)] * 8
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -351,8 +351,8 @@
 def test_long_body_is_refused_when_the_memory_budget_is_used_up(deploy):
     deployment = deploy(limits={"memory_mb": 32, "sockets": 256})
     budget, body = deployment.agent.budget, bytes(9000)
-    assert budget.max_connections == 224 and budget.long_body_bytes > 20 * 3 * MAX_BODY_BYTES
-    unclaimed_bytes = budget.long_body_bytes = 30000
+    assert budget.max_connections == 224 and budget.free_message_bytes > 20 * 3 * MAX_BODY_BYTES
+    unclaimed_bytes = budget.free_message_bytes = 30000
     waiting = deployment.connect()
     waiting.sock.sendall(encode_request("/mark/x?do=wait", "POST", body, Idempotency_Key="k"))
     until(deployment.received_paths)
@@ -361,7 +361,7 @@
     deployment.servers[0].released.set()
     assert read_answer(waiting)[0] == 200 and deployment.ask(connection=waiting)[0] == 200
     waiting.close()
-    until(lambda: budget.long_body_bytes == unclaimed_bytes)
+    until(lambda: budget.free_message_bytes == unclaimed_bytes)
 
 
 def test_unidentified_clients_get_few_connections_and_little_time(deploy, monkeypatch):
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -1,6 +1,7 @@
 """Resources and time that clients, peers and the discovery service can take from an agent are bounded."""
 
 import gc
+import struct
 import sys
 import weakref
 
@@ -11,8 +12,9 @@
 from cartdeal.agent import discovery, effects, reducer
 from cartdeal.agent.connection import MAX_BODY_BYTES
 from cartdeal.agent.discovery import ListStream
-from cartdeal.agent.front import MAX_PIPELINED_REQUESTS
-from tests.scene import Deployment, encode_request, until
+from cartdeal.agent.effects import CONNECTION_MEMORY_MB
+from cartdeal.agent.front import ClientConnection
+from tests.scene import Deployment, encode_request, read_answer, until
 
 BODY = b"x" * (MAX_BODY_BYTES - 100)
 REQUESTS = 100
@@ -42,15 +44,114 @@
     sender = gevent.spawn(
         client.sock.sendall, b"".join(encode_request("/once/x", "POST", BODY) for _ in range(REQUESTS))
     )
-    until(
-        lambda: early_requests or (connection.writer and len(connection.messages) >= MAX_PIPELINED_REQUESTS)
-    )
+    until(lambda: early_requests or (connection.writer and connection.has_full_queue()))
     for _ in range(10):
         gevent.sleep(0)
     assert not early_requests
     sender.kill()
 
 
+LONG_PART_BYTES = 14_000  # of a request's head; with the rest of it under the limit of a head
+PIPELINING_CLIENTS = 60
+PIPELINED_REQUESTS = 30
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER; an end behind unread requests would not arrive
+
+
+def queued_bytes(front):
+    """The bytes of paths, headers and bodies in the requests that the agent has read and not begun."""
+    messages = [message for client in front.clients for message in client.messages]
+    sizes = [
+        len(message.path) + len(message.body) + sum(map(len, [*message.headers, *message.headers.values()]))
+        for message in messages
+    ]
+    return sum(sizes)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        {"path": "/read/" + "p" * LONG_PART_BYTES},
+        {"Cookie": "sid=" + "c" * LONG_PART_BYTES},
+        {"X_Other": "o" * LONG_PART_BYTES},
+    ],
+    ids=["path", "cookie", "unused header"],
+)
+def test_pipelined_requests_are_held_within_the_memory_limit(tmp_path, bounded, part):
+    """Guards against an agent over its memory limit: no budget counted queued heads and short bodies."""
+    deployment = Deployment(tmp_path, limits={"memory_mb": 40, "sockets": 256})
+    front, budget = deployment.agent.front, deployment.agent.budget
+    free_bytes, dispatch = budget.free_message_bytes, front.dispatch
+    memory_limit = free_bytes + PIPELINING_CLIENTS * CONNECTION_MEMORY_MB * 1e6
+    front.dispatch = lambda event, client, request: front.identify(client)  # no request is answered
+    clients, senders = [], []
+    for _ in range(PIPELINING_CLIENTS):
+        clients.append(deployment.connect())
+        requests = b"".join(encode_request(**part) for _ in range(PIPELINED_REQUESTS))
+        senders.append(gevent.spawn(send_while_open, clients[-1].sock, requests))
+        until(lambda: len(front.clients) == len(clients) and not front.unidentified)
+    until(lambda: all(map(has_stopped_reading, front.clients)))
+    assert queued_bytes(front) <= memory_limit
+    front.dispatch = dispatch
+    assert deployment.ask()[0] == 200
+    gevent.killall(senders)
+    for client in clients:
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        client.close()
+    until(lambda: budget.free_message_bytes == free_bytes)
+    deployment.stop()
+
+
+def send_while_open(sock, data):
+    try:
+        sock.sendall(data)
+    except OSError:
+        pass  # the agent has refused a request and closed the connection
+
+
+def has_stopped_reading(client):
+    return client.has_full_queue() or client.discards_input
+
+
+def test_memory_of_an_answered_request_is_free_while_others_are_queued(deployment):
+    """Guards against claims that pile up while a connection always has another request queued."""
+    client, budget = deployment.connect(), deployment.agent.budget
+    free_bytes, claimed_bytes = budget.free_message_bytes, []
+    release_message = ClientConnection.release_message
+
+    def recording_release(connection, message):
+        claimed_bytes.append(connection.memory.claimed_bytes)
+        release_message(connection, message)
+
+    ClientConnection.release_message = recording_release
+    try:
+        requests = [encode_request("/once/x", "POST", b"b" * 9000) for _ in range(40)]
+        sender = gevent.spawn(client.sock.sendall, b"".join(requests))
+        assert [read_answer(client)[0] for _ in requests] == [200] * len(requests)
+    finally:
+        ClientConnection.release_message = release_message
+    sender.join()
+    assert max(claimed_bytes) < 5 * 3 * 9100  # the handled one, the queue that is full, and one being read
+    assert len(claimed_bytes) == len(requests) and budget.free_message_bytes == free_bytes
+
+
+def test_answers_that_are_not_read_are_claimed(deployment):
+    """Guards against unread answers in no budget: while they wait, other long messages have less room."""
+    client, budget = deployment.connect(), deployment.agent.budget
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    (connection,) = wait_for(lambda: deployment.agent.front.clients)
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    free_bytes = budget.free_message_bytes
+    requests = [encode_request("/once/x", "POST", BODY) for _ in range(20)]
+    sender = gevent.spawn(client.sock.sendall, b"".join(requests))
+    until(lambda: connection.writer and connection.has_full_queue() and connection.unsent == b"")
+    unwritten_bytes = connection.memory.held_bytes - sum(each.memory_bytes for each in connection.messages)
+    assert unwritten_bytes >= len(BODY) // 2
+    sender.kill()
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    client.close()
+    until(lambda: budget.free_message_bytes == free_bytes)
+
+
 def wait_for(condition):
     until(condition)
     return condition()
