Refuse the id of a request for as long as that request is open

Callers whose request had been open for over 5 s could have its id served to another client: two requests ran under one id.

Cause: ids were remembered by age from a request's begin (5 to 10 s, less under a flood), and a class may allow more. Ruled out: servers, which can't tell whose request it is.

Change: RequestIds keeps the ids of open requests until their end, whatever comes meanwhile, and those of finished ones for 5 to 10 s more.

--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -15,6 +15,7 @@
 from cartdeal.agent.configuration import AgentConfiguration, ServerList
 from cartdeal.agent.invariants import Destination, Invariant, InvariantMonitor
 from cartdeal.agent.metrics import Metrics
+from cartdeal.agent.request_ids import RequestIds
 from cartdeal.agent.start_times import StartTimes
 from cartdeal.balancer import Balancer
 from cartdeal.balancer_types import (
@@ -28,9 +29,6 @@
 )
 
 SERVER_STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING}
-RECENT_ID_S = 5.0  # a request id is remembered for at least this long, and at most twice as long
-# This many ids are remembered, and at most twice as many; if more arrive, for less than RECENT_ID_S.
-MAX_RECENT_IDS = 1 << 15
 MAX_ZONES = 64  # number of zones that are distinguished, including those of the settings
 DEADLINE_GRACE_S = 0.02  # a request that the balancer missed is answered this long after its deadline
 
@@ -189,9 +187,7 @@
         self.request_count = 0
         self.shutdown_deadline = inf  # by which every request must be answered
         self.requests: dict[int, PendingRequest] = {}
-        # The ids of the last RECENT_ID_S seconds and of the interval before. A duplicate of a request is in
-        # transit for less time than that.
-        self.recent_ids, self.previous_ids, self.ids_rotate_at = set(), set(), now
+        self.request_ids = RequestIds(now)
         self.list_version = 0
         self.next_server_index = 0  # an index is never reused
         # These two contain a server until the list reports it as removed.
@@ -227,16 +223,12 @@
 
     def on_request(self, client, request: Request):
         """A client has sent a request."""
-        if request.id in self.recent_ids or request.id in self.previous_ids:
-            # The answer or the end of one of the two requests could be attributed to the other one.
+        if self.request_ids.is_known(request.id):
             self.metrics.count("requests_with_a_known_id")
             return self.effects.append(
-                ("refuse_request", client, 409, "an X-Request-ID that was used just now")
+                ("refuse_request", client, 409, "an X-Request-ID of another request, open or just finished")
             )
-        if self.now > self.ids_rotate_at or len(self.recent_ids) >= MAX_RECENT_IDS:
-            self.previous_ids, self.recent_ids = self.recent_ids, set()
-            self.ids_rotate_at = self.now + RECENT_ID_S
-        self.recent_ids.add(request.id)
+        self.request_ids.add(request.id)
         self.request_count += 1
         # If the idempotency record expired before the request ended, a repeat would be admitted.
         timeout = (
@@ -608,6 +600,7 @@
         )
         if is_finished:
             self.monitor.forget(number)
+            self.request_ids.finish(pending.request.id, self.now)
         if is_finished and self.max_request_durations is not None:
             ran_outcome = (
                 "never" if not pending.may_have_run else "answered" if pending.was_served else "maybe"
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -139,7 +139,8 @@
         harness.end_attempt(number, 0)
     assert not reducer.requests and not balancer.requests and not balancer.queued_requests
     assert len(reducer.servers) == len(reducer.server_indices) == len(balancer.servers) <= 2
-    assert reducer.next_server_index > 300 and len(reducer.recent_ids) + len(reducer.previous_ids) < 200
+    ids = reducer.request_ids
+    assert reducer.next_server_index > 300 and len(ids.recent) + len(ids.previous) < 200 and not ids.open
 
 
 def test_attempt_at_a_removed_server_still_ends_its_request(tmp_path):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -342,10 +342,10 @@
     reducer = deployment.agent.reducer
     for _ in "ab":
         assert deployment.ask(X_Request_ID="same")[0] == 409
-        reducer.ids_rotate_at = 0.0
+        reducer.request_ids.rotate_at = 0.0
         assert deployment.ask()[0] == 200
     assert deployment.ask(X_Request_ID="same")[0] == 200  # ids are forgotten, so that they don't accumulate
-    assert len(reducer.recent_ids) + len(reducer.previous_ids) < 4
+    assert len(reducer.request_ids.recent) + len(reducer.request_ids.previous) < 4
 
 
 def test_long_body_is_refused_when_the_memory_budget_is_used_up(deploy):
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -9,7 +9,7 @@
 import pytest
 from gevent import socket, subprocess
 
-from cartdeal.agent import discovery, effects, reducer
+from cartdeal.agent import discovery, effects, request_ids
 from cartdeal.agent.connection import MAX_BODY_BYTES
 from cartdeal.agent.discovery import ListStream
 from cartdeal.agent.effects import CONNECTION_MEMORY_MB
@@ -219,14 +219,30 @@
 
 
 def test_number_of_remembered_request_ids_is_bounded(deployment, monkeypatch):
-    monkeypatch.setattr(reducer, "MAX_RECENT_IDS", 20)
-    client, agent_reducer = deployment.connect(), deployment.agent.reducer
+    monkeypatch.setattr(request_ids, "MAX_RECENT_IDS", 20)
+    client, ids = deployment.connect(), deployment.agent.reducer.request_ids
     for number in range(100):
         assert deployment.ask(connection=client, X_Request_ID=f"id-{number}")[0] == 200
-        assert len(agent_reducer.recent_ids) + len(agent_reducer.previous_ids) <= 40
+        assert len(ids.recent) + len(ids.previous) <= 40 and not ids.open
     assert deployment.ask(connection=client, X_Request_ID="id-95")[0] == 409
 
 
+def test_id_of_an_open_request_is_refused_however_many_others_come(deployment, monkeypatch):
+    """Guards against serving a request with the id of one that has been open for long, or under a flood."""
+    monkeypatch.setattr(request_ids, "MAX_RECENT_IDS", 20)
+    waiting, ids = deployment.connect(), deployment.agent.reducer.request_ids
+    waiting.sock.sendall(encode_request("/once/x?do=wait", "POST", X_Request_ID="open", X_Timeout="60000m"))
+    until(deployment.received_paths)
+    for number in range(100):
+        ids.rotate_at = 0.0  # as if RECENT_ID_S had passed
+        assert deployment.ask("/read/x", X_Request_ID=f"id-{number}")[0] == 200
+    assert deployment.ask("/once/other", "POST", X_Request_ID="open")[0] == 409
+    deployment.servers[0].released.set()
+    assert read_answer(waiting) == (200, b"waited")
+    assert deployment.ask("/once/other", "POST", X_Request_ID="open")[0] == 409  # it has just ended
+    assert "/once/other" not in deployment.received_paths() and not ids.open
+
+
 @pytest.mark.parametrize("closed", [(2,), (0, 1, 2), (0,)])
 def test_closed_standard_descriptors_are_not_used_for_connections(tmp_path, closed):
     """The log is written to descriptor 2, even if a connection has that number."""
