Count a request whose answer crosses its agent's kill once in the rig

A request is excused when its agent is killed; its answer may already be on its way, and then counted a second time. It counts as answered now; the test of it failed before.

--- a/cartdeal/emulator/rule_checker.py
+++ b/cartdeal/emulator/rule_checker.py
@@ -86,6 +86,9 @@
                 1, at, request, f"a second answer, {status}; the first was at {first:.3f} s"
             )
         self.answered_count += 1
+        if tracked.is_excused:  # the answer was on its way when the agent was killed
+            tracked.is_excused = False
+            self.excused_count -= 1
         if at > tracked.deadline + DEADLINE_TOLERANCE_S:
             self.add_violation(1, at, request, f"answered {at - tracked.deadline:.3f} s after its deadline")
         request_class = self.request_classes[tracked.request_class]
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -12,6 +12,7 @@
 
 from cartdeal.agent.connection import Connection
 from cartdeal.emulator import world as worlds
+from cartdeal.emulator.rule_checker import RuleChecker
 from cartdeal.emulator.world import InvalidInputError
 from cartdeal.rig.play import Rig, read_agent_command
 
@@ -82,6 +83,15 @@
     assert Counter(each.rule for each in violations).most_common(1)[0][0] == rule
 
 
+def test_answer_of_a_killed_agent_that_arrives_later_counts_once():
+    """Guards against a request that counts as answered and as excused: its answer crossed the kill."""
+    checker = RuleChecker(worlds.world_from_dict(FAULTY_WORLD))
+    checker.on_request_accepted(1.0, 0, "r1", next(iter(checker.request_classes)), 3.0)
+    checker.on_agent_killed(0)
+    checker.on_answer(1.1, "r1", 200)
+    assert (checker.accepted_count, checker.answered_count, checker.excused_count) == (1, 1, 0)
+
+
 def test_request_on_a_connection_that_the_agent_closed_is_sent_again():
     rig = Rig(worlds.world_from_dict({"seconds": 1.0, "agents": 1, "zones": ["a"]}), 1, AGENT_COMMAND)
     idle_connection = rig.idle_connection
