Let a connection to a server rest 20 ms after an answer, so late second ones show

Cause: take_idle reused a connection 5 ms after its answer. Ruled out: copies that come with the answer or before the next request, which are seen.

The test failed before.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -85,7 +85,7 @@
     """
 
     # Lower-case names of the headers that are kept, beside those that may frame a message; None for all.
-    kept_headers: frozenset[bytes] | None = None
+    retained_headers: frozenset[bytes] | None = None
 
     def __init__(
         self,
@@ -264,7 +264,7 @@
         if self.is_head_complete:
             return  # a trailer must not replace a header that has already been acted on
         name, headers = name.lower(), self.message.headers
-        if not self.is_kept_header(name):
+        if not self.is_retained_header(name):
             return
         # The parser leaves trailing whitespace in a value. A tab after a transfer coding is kept, because the
         # parser doesn't recognise that coding, and stripping it would frame the message differently here.
@@ -274,9 +274,13 @@
         headers[name] = headers[name] + b", " + value if name in headers else value
         self.head_bytes += len(name) + len(value)
 
-    def is_kept_header(self, name: bytes) -> bool:
+    def is_retained_header(self, name: bytes) -> bool:
         """Whether a header is kept: its reader may need it, or it may frame the message."""
-        return self.kept_headers is None or name in self.kept_headers or bool(AMBIGUOUS_FRAMING.match(name))
+        return (
+            self.retained_headers is None
+            or name in self.retained_headers
+            or bool(AMBIGUOUS_FRAMING.match(name))
+        )
 
     def on_headers_complete(self):
         """Checks the head and how it frames the body."""
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -114,7 +114,7 @@
     Durations are in seconds, and times are monotonic seconds.
     """
 
-    kept_headers = REQUEST_HEADERS
+    retained_headers = REQUEST_HEADERS
 
     def __init__(self, sock, on_close, budget, on_half_close, on_written, stalls):
         super().__init__(
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -28,7 +28,7 @@
 
 SPARE_DIVISOR = 8  # one in this many connections is left for clients
 # A connection is not reused for this long after an answer: surplus bytes of that answer show by then.
-REUSABLE_AFTER_S = 0.005
+REUSABLE_AFTER_S = 0.02
 MAX_IDLE_SHARE = 0.6  # share of the server's idle timeout after which an idle connection is closed
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_FACTOR = 2.0  # timeout of a probe as a multiple of the connect timeout
@@ -60,7 +60,7 @@
 class ServerConnection(Connection):
     """A connection to a server."""
 
-    kept_headers = RESPONSE_HEADERS
+    retained_headers = RESPONSE_HEADERS
 
     def __init__(self, sock, address: str, budget: ConnectionBudget):
         """`address`: that of the server, as in the list."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -109,6 +109,25 @@
     assert deployment.ask() == (200, b"s0 ") and server.connections - open_before
 
 
+LATEST_SECOND_ANSWER_S = 0.01  # after the first: "some milliseconds late"
+
+
+def test_connection_on_which_a_second_answer_may_come_is_not_reused(deploy, monkeypatch):
+    """Guards against serving a request with a late second answer to the one before it on its connection."""
+    deployment = deploy()
+    assert deployment.ask() == (200, b"s0 ")
+    upstream, server = deployment.agent.upstream, deployment.servers[0]
+    (connection,) = upstream.idle[0]
+    answered_at = connection.last_active_at
+    monkeypatch.setattr("cartdeal.agent.upstream.monotonic", lambda: answered_at + LATEST_SECOND_ANSWER_S)
+    assert upstream.take_idle(0, server.address) is None
+    for each in server.connections:
+        each.sock.sendall(answer(200, b"stray"))
+    until(connection.has_unread_input)
+    monkeypatch.setattr("cartdeal.agent.upstream.monotonic", lambda: answered_at + 1.0)
+    assert upstream.take_idle(0, server.address) is None and connection.closed
+
+
 def test_new_server_at_a_known_address_does_not_reuse_its_connections(deploy):
     deployment = deploy()
     assert deployment.ask() == (200, b"s0 ")
