Let the end of an attempt precede due timers only where its request is overdue

Cause: since an attempt that never ran was handled before all due timers, at any time. Which timer has to come first is not found.

Change: the order holds only for a request whose deadline has passed, for which it was made.

--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -230,10 +230,10 @@
     ):
         """Pass the end of an attempt to the reducer.
 
-        One that provably never ran precedes the timers that are due. In an agent that runs late, the timer of
-        the deadline would otherwise fail a request that may still be rejected.
+        If its request is overdue and it provably never ran, it precedes the timers that are due. In an agent
+        that runs late, the timer of the deadline would otherwise fail a request that may still be rejected.
         """
-        if result.outcome().never_ran:
+        if result.outcome().never_ran and self.reducer.is_overdue(request, monotonic()):
             self.run_event("on_attempt_ended", (request, server, attempt, result, load))
         else:
             self.dispatch("on_attempt_ended", request, server, attempt, result, load)
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -519,6 +519,11 @@
             OtherAttempts(routed_request.request_class, other_executions), target, self.now
         ) and all(self.allows_attempt(each, target) for each in pending.earlier_attempts)
 
+    def is_overdue(self, number: int, now: float) -> bool:
+        """Whether the deadline of a request has passed."""
+        pending = self.requests.get(number)
+        return pending is not None and now >= pending.deadline
+
     def waiting_client(self, number: int):
         """Return the client that waits for the answer, or None."""
         pending = self.requests.get(number)
