--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -320,6 +320,9 @@
         self.process.send_signal(number)
 
     async def end(self):
+        if self.process and self.process.returncode is not None:
+            last_lines = self.log_path.read_text(errors="replace").splitlines()[-5:]
+            self.record.note(f"{self.name} had ended with {self.process.returncode}; its last lines: {last_lines}")
         if self.process and self.process.returncode is None:
             try:
                 self.process.send_signal(signal.SIGCONT)
