Refuse a request with bytes behind it that begin no other request

Cause: receive parses a whole read; refuse_further_input kept the requests ahead of unreadable bytes, and start_next_request sent them on, though nothing had gone out yet. Ruled out: a race, and the parser, which reports the error at the first byte behind the length.

Change: input that begins no message where one has to begin raises UnreadableHeadError, and is the end of the request before it: 400. Requests further ahead are served; the heads behind them prove their lengths. A request is started only when what has come behind it is parsed, deferred and unread bytes included; if they come when an attempt is out, the request is withdrawn and its attempts are cancelled. Messages are parsed up to their exact ends, a head line by line, so that what is behind Connection: close can be told.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -67,6 +67,13 @@
         self.status = status
 
 
+class UnreadableHeadError(MalformedMessageError):
+    """The input where a message should begin is not the head of one.
+
+    It may be the rest of the message before it, whose length is wrong then.
+    """
+
+
 def is_ready(sock, event: int, if_unknown: bool) -> bool:
     """Whether poll reports the event, or an error, for the socket; `if_unknown` if the poll itself fails."""
     try:
@@ -120,6 +127,7 @@
         self.framing_bytes = 0  # bytes of the current message outside its body, approximately
         self.body_bytes = 0  # bytes of the current body that have been parsed
         self.is_head_complete = False  # headers that follow a complete head are trailers
+        self.content_length = None  # of the current message; None if its body has no stated length
         # is_close_delimited: whether the current response ends with the stream.
         self.allows_close_delimited, self.is_close_delimited = allows_close_delimited, False
         self.input_end = 0  # end of the received input in the buffer
@@ -171,10 +179,10 @@
         self.input_end = self.body_end + count
         self.is_parsing = True
         try:
-            self.parser.feed_data(self.view[self.body_end : self.input_end])
+            self.parse(self.body_end, self.input_end)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not (self.reads_responses and self.messages):  # surplus bytes don't invalidate a response
-                raise self.parse_error or MalformedMessageError(400, f"no HTTP: {error}") from None
+                raise self.parse_error or self.unparseable_input_error(error) from None
             self.has_surplus_input = True
         finally:
             self.is_parsing = False
@@ -190,6 +198,33 @@
             raise MalformedMessageError(431, f"a head of over {MAX_HEAD_BYTES} bytes")
         return True
 
+    def parse(self, position: int, end: int):
+        """Parses the input between two positions of the buffer, each message up to its exact end."""
+        while position < end and (self.mid_message or self.may_begin_message(position, end)):
+            piece_end = self.end_of_piece(position, end)
+            self.parser.feed_data(self.view[position:piece_end])
+            position = piece_end
+
+    def end_of_piece(self, position: int, end: int) -> int:
+        """The end of the input that belongs to the current message for sure.
+
+        A head is parsed line by line, because its end is known only when its last line has been parsed.
+        """
+        if not (self.mid_message and self.is_head_complete):
+            return self.buffer.find(b"\n", position, end) + 1 or end
+        if self.content_length is None or self.content_length <= self.body_bytes:
+            return end
+        return min(end, position + self.content_length - self.body_bytes)
+
+    def may_begin_message(self, position: int, end: int) -> bool:
+        """Whether the input between two positions is to be parsed as the beginning of a message."""
+        return True
+
+    def unparseable_input_error(self, error: Exception) -> MalformedMessageError:
+        """The error for input that the parser has refused."""
+        is_in_message = self.mid_message and self.is_head_complete
+        return (MalformedMessageError if is_in_message else UnreadableHeadError)(400, f"no HTTP: {error}")
+
     def read_into(self, view, timeout_s: float | None) -> int:
         """Reads when there is input; retries after a pause while the system lacks memory for the read."""
         deadline = monotonic() + (
@@ -250,7 +285,7 @@
         if self.reads_responses and self.messages:
             raise self.record_error(502, "more than the answer")
         self.message, self.body_end, self.mid_message, self.is_head_complete = Message(), 0, True, False
-        self.is_close_delimited = False
+        self.is_close_delimited, self.content_length = False, None
         self.partial_line, self.chunk_bytes, self.head_bytes = b"", None, 0
         self.hold_message(0)
 
@@ -302,7 +337,8 @@
             if not self.allows_close_delimited:
                 raise self.record_error(502, "an answer with neither a length nor chunks")
             self.is_close_delimited = True
-        self.check_size(int(length or 0))
+        self.content_length = None if length is None else int(length)
+        self.check_size(self.content_length or 0)
 
     def on_body(self, part: bytes):
         """Moves a part of the body behind the parts before it."""
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -23,10 +23,17 @@
 from time import monotonic
 
 import gevent
+import httptools
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, MalformedMessageError, Message, is_ready
+from cartdeal.agent.connection import (
+    Connection,
+    MalformedMessageError,
+    Message,
+    UnreadableHeadError,
+    is_ready,
+)
 from cartdeal.agent.connection_budget import ConnectionBudget
 from cartdeal.agent.reducer import Request
 from cartdeal.agent.stalls import StallDetector
@@ -137,6 +144,7 @@
         self.read_timeout = REQUEST_READ_TIMEOUT_S  # seconds; for the whole current message
         self.unread_since = None  # time since which input may be unread; None if all was read
         self.message_dequeued = Event()  # set when a request is taken from `messages`
+        self.is_last_message_read = False  # whether the last complete request has `Connection: close`
         self.peer_has_ended = False  # whether the client closed or reset the connection
         self.end_reason = EndReason.PEER_CLOSED
 
@@ -175,6 +183,26 @@
         super().on_message_complete()
         came_at = self.stalls.earliest_arrival(monotonic())
         self.messages[-1].came_at = came_at if self.unread_since is None else min(came_at, self.unread_since)
+        self.is_last_message_read = not self.messages[-1].keep_alive
+
+    def may_begin_message(self, position: int, end: int) -> bool:
+        """Refuses what follows a request with `Connection: close`; the parser refuses all of it alike."""
+        if not self.is_last_message_read:
+            return True
+        if begins_request(self.view[position:end]):
+            raise MalformedMessageError(400, "a request behind one with Connection: close")
+        raise UnreadableHeadError(400, "no HTTP behind a request with Connection: close")
+
+    def has_unread_input_behind_message(self) -> bool:
+        """Whether input that is not parsed yet may show that the length of the only queued request is wrong.
+
+        Behind other requests or the beginning of the next one it is not: that one's head was found.
+        """
+        is_next_unknown = len(self.messages) == 1 and not self.mid_message and not self.discards_input
+        if not is_next_unknown or self.closed:
+            return False
+        # If the poll fails, the request is not held back: no read may follow.
+        return bool(self.unparsed) or is_ready(self.sock, select.POLLIN, if_unknown=False)
 
     def take_message(self) -> Message:
         """Takes the next queued message; its memory is returned by `finish_message`."""
@@ -372,7 +400,9 @@
 
     def wait_for_turn(self, client: ClientConnection) -> bool:
         """Waits while the queue of its requests is full; false if the client closes meanwhile."""
-        while client.has_full_queue() and not client.discards_input:
+        while client.has_full_queue() and not (
+            client.discards_input or client.has_unread_input_behind_message()
+        ):
             client.message_dequeued.clear()
             client.message_dequeued.wait(UNREAD_POLL_INTERVAL_S)
             if client.closed or client.peer_ended():
@@ -388,12 +418,25 @@
         client.close()
 
     def refuse_further_input(self, client: ClientConnection, error: MalformedMessageError):
-        """Discards further input; complete requests before the error are still answered."""
+        """Discards further input; complete requests before the error are still answered.
+
+        If the error shows that the length of the last one may be wrong, the error is the answer to that one.
+        """
         log.info("refused", extra={"status": error.status, "reason": str(error)})
         client.refusal = error
         client.discard_input()
         if client.end_reason is EndReason.PEER_CLOSED:
             client.end_reason = EndReason.REFUSED
+        if isinstance(error, UnreadableHeadError):
+            self.withdraw_last_request(client)
+
+    def withdraw_last_request(self, client: ClientConnection):
+        """Drops the request that was read last, unless it is answered already; cancels its attempts."""
+        if client.messages:
+            client.release_message(client.messages.pop())
+        elif client.awaits_answer:
+            client.keep_alive = False
+            self.dispatch("on_request_withdrawn", client.request_number)
 
     def end_connection(self, client: ClientConnection, reason: EndReason, error: MalformedMessageError):
         """Ends a connection at a time limit, for capacity or at the shutdown.
@@ -451,6 +494,9 @@
                 # an attempt may have been sent.
                 client.drop_messages()
                 break
+            if client.has_unread_input_behind_message():
+                client.message_dequeued.set()  # `serve` may wait for that; it reads on and calls this again
+                return
             message = client.take_message()
             client.keep_alive = message.keep_alive
             path = message.path.partition(b"?")[0]
@@ -716,6 +762,17 @@
     )
 
 
+def begins_request(data) -> bool:
+    """Whether the data may be the beginning of a request."""
+    try:
+        httptools.HttpRequestParser(object()).feed_data(data)
+    except httptools.HttpParserError:
+        return False
+    except httptools.HttpParserUpgrade:
+        pass
+    return True
+
+
 def parse_timeout(headers: dict[bytes, bytes]) -> float | None:
     """The request's X-Timeout in seconds, at most MAX_STATED_TIMEOUT_S; None if it is absent or invalid."""
     match = TIMEOUT_PATTERN.fullmatch(headers.get(b"x-timeout", b"").strip())
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -305,6 +305,18 @@
             self.forget_if_finished(number, pending)
             self.balancer.on_client_disconnected(number)
 
+    def on_request_withdrawn(self, number: int):
+        """The input behind a request has shown that the request is invalid: it is answered 400."""
+        pending = self.requests.get(number)
+        if pending is None or pending.client is None:
+            return
+        self.metrics.count("requests_withdrawn")
+        if self.balancer.settings.may_cancel:
+            for attempt in pending.target_servers:
+                self.cancel(number, attempt)
+        self.answer(number, 400, b"", b"", 0.0)
+        self.balancer.on_request_withdrawn(number)
+
     def on_attempt_started(self, number: int, attempt: int, server: int, timeout_sent: float):
         """The first byte of an attempt is being sent; `timeout_sent`: the timeout in it, in seconds."""
         target = self.balancer.servers.get(server)
--- a/cartdeal/balancer.py
+++ b/cartdeal/balancer.py
@@ -593,6 +593,10 @@
         if number in self.requests:
             self.record_result(self.remove_request(number), True, self.host.now)
 
+    def on_request_withdrawn(self, number):
+        """The request was invalid; it says nothing about the servers."""
+        self.remove_request(number)
+
     def route_queued_requests(self, now):
         """Routes the queued requests that are due, by priority weight, until two of them find no capacity."""
         no_capacity_count, due = (
