Free refused connections and their buffers when they are closed

Cause: a connection stored the exception that refused its input. Its traceback refers to frames, and they to the connection, so closed connections waited for a garbage collection with buffers of up to 128 kB each, while the budget had their share back.

Change: connections keep the status and the words of an error and no exception; a close drops the buffer, the messages and what is unsent. Messages and their errors have a module of their own, message.py. One test names a renamed constant.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -16,6 +16,7 @@
 from gevent import socket
 
 from cartdeal.agent.connection_budget import ConnectionBudget, MemoryClaim
+from cartdeal.agent.message import ErrorAnswer, MalformedMessageError, Message, UnreadableHeadError
 from cartdeal.agent.system_errors import RETRY_PAUSE_S, is_transient
 
 MAX_HEAD_BYTES = 16384  # the head of a message, including interim responses before it
@@ -34,22 +35,6 @@
 MAX_DISCARDED_BYTES = 1 << 20  # input that is discarded after a half-close
 
 
-class Message:
-    """A complete request or response."""
-
-    __slots__ = ("method", "path", "status", "headers", "body", "keep_alive", "came_at", "memory_bytes")
-
-    def __init__(self):
-        self.method = b""
-        self.path = b""
-        self.status = 0
-        self.headers = {}
-        self.body = b""
-        self.keep_alive = True
-        self.came_at = 0.0  # monotonic time in seconds of its last byte; set by ClientConnection
-        self.memory_bytes = 0  # that its connection holds for it
-
-
 DISCARD_BUFFER = bytearray(65536)  # receives input that is not parsed
 
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
@@ -59,21 +44,6 @@
 AMBIGUOUS_FRAMING = re.compile(rb"(?:content|transfer)[^a-z]*(?:length|encoding)")
 
 
-class MalformedMessageError(Exception):
-    """The input is not valid HTTP, is ambiguous, or is too long. `status`: the status for the application."""
-
-    def __init__(self, status: int, message: str):
-        super().__init__(message)
-        self.status = status
-
-
-class UnreadableHeadError(MalformedMessageError):
-    """The input where a message should begin is not the head of one.
-
-    It may be the rest of the message before it, whose length is wrong then.
-    """
-
-
 def is_ready(sock, event: int, if_unknown: bool) -> bool:
     """Whether poll reports the event, or an error, for the socket; `if_unknown` if the poll itself fails."""
     try:
@@ -140,7 +110,7 @@
         self.message = Message()
         self.messages = []  # complete messages that the owner has not taken yet
         self.unparsed = b""  # requests that were read but not parsed; empty once input is discarded
-        self.parse_error = None
+        self.parse_failure: ErrorAnswer | None = None  # why a callback of the parser refused the input
         self.unsent = b""  # written data that the socket has not accepted yet
         self.writer = None  # the greenlet that writes `unsent`
         self.ends_after_write = False  # whether to half-close when everything is written
@@ -182,11 +152,11 @@
             self.parse(self.body_end, self.input_end)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not (self.reads_responses and self.messages):  # surplus bytes don't invalidate a response
-                raise self.parse_error or self.unparseable_input_error(error) from None
+                raise self.unparseable_input_error(error) from None
             self.has_surplus_input = True
         finally:
             self.is_parsing = False
-            self.release_parser()
+            self.release_buffers()
         if self.mid_message and self.message.headers.get(FRAMING_HEADERS[1]):
             self.check_chunk_size()
         self.input_at_first_chunk = None
@@ -221,7 +191,9 @@
         return True
 
     def unparseable_input_error(self, error: Exception) -> MalformedMessageError:
-        """The error for input that the parser has refused."""
+        """The error for input that the parser, or one of its callbacks, has refused."""
+        if self.parse_failure:
+            return MalformedMessageError(*self.parse_failure)
         is_in_message = self.mid_message and self.is_head_complete
         return (MalformedMessageError if is_in_message else UnreadableHeadError)(400, f"no HTTP: {error}")
 
@@ -406,11 +378,11 @@
         self.memory.change(-message.memory_bytes)
         message.memory_bytes = 0
 
-    def record_error(self, status: int, message: str) -> MalformedMessageError:
-        """Stores and returns an error to be raised in a callback."""
+    def record_error(self, status: int, reason: str) -> MalformedMessageError:
+        """Returns an error to be raised in a callback, and stores its status and reason."""
         # The parser raises an error of its own when a callback raises: the reason is kept here.
-        self.parse_error = MalformedMessageError(status, message)
-        return self.parse_error
+        self.parse_failure = ErrorAnswer(status, reason)
+        return MalformedMessageError(status, reason)
 
     def on_message_complete(self):
         """Adds the message to `messages`, unless it is an interim response."""
@@ -526,25 +498,30 @@
         """
         return self.closed or is_ready(self.sock, event, if_unknown=event == select.POLLIN)
 
-    def release_parser(self):
-        """Breaks the reference cycle of a closed connection and its parser.
+    def release_buffers(self):
+        """Frees what a closed connection holds, and breaks its reference cycle with its parser.
 
-        Otherwise the connection and its buffer would stay in memory until a garbage collection.
+        Otherwise they would stay in memory until a garbage collection, or for as long as something refers to
+        the connection, while the budget counts their memory as free.
         """
         if self.closed and not self.is_parsing:
             self.parser = None
+            self.buffer, self.unsent = bytearray(), b""
+            self.view = memoryview(self.buffer)
+            self.message, self.input_at_first_chunk, self.body_end = Message(), None, 0
 
     def close(self):
         """Closes the socket and returns what was claimed from the budget."""
         if not self.closed:
             self.closed = True
             self.discard_input()
-            self.release_parser()
+            self.release_buffers()
             self.memory.release()
             if self.half_closed:
                 self.discard_unread()
             self.sock.close()
             self.on_close(self)
+            self.messages.clear()
 
     def discard_unread(self):
         """Reads pending input without waiting: a close with unread input would reset the connection."""
--- a/cartdeal/agent/discovery.py
+++ b/cartdeal/agent/discovery.py
@@ -13,7 +13,8 @@
 from gevent import socket
 
 from cartdeal.agent.configuration import ConfigurationError, ServerList, parse_address
-from cartdeal.agent.connection import Connection, MalformedMessageError
+from cartdeal.agent.connection import Connection
+from cartdeal.agent.message import MalformedMessageError
 from cartdeal.agent.system_errors import is_wait_timeout
 
 SERVER_LIST_PATH = "/registry/instances"
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -27,14 +27,9 @@
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import (
-    Connection,
-    MalformedMessageError,
-    Message,
-    UnreadableHeadError,
-    is_ready,
-)
+from cartdeal.agent.connection import Connection, is_ready
 from cartdeal.agent.connection_budget import ConnectionBudget
+from cartdeal.agent.message import ErrorAnswer, MalformedMessageError, Message, UnreadableHeadError
 from cartdeal.agent.reducer import Request
 from cartdeal.agent.stalls import StallDetector
 from cartdeal.agent.system_errors import RETRY_PAUSE_S, is_own_limit
@@ -90,12 +85,14 @@
     )
 )
 CLOSE_HEADER = b"Connection: close\r\n"
-NO_CAPACITY_ERROR = MalformedMessageError(503, "no room")
-SHUTDOWN_ERROR = MalformedMessageError(503, "the agent ends")
-READ_TIMEOUT_ERROR = MalformedMessageError(408, "the rest of the request did not come in time")
-# Answers after an internal fault: to a request that was sent to no server, and to one that may have run.
-AGENT_FAULT_ERROR = MalformedMessageError(503, "a fault of the agent")
-AGENT_FAULT_AFTER_ATTEMPT_ERROR = MalformedMessageError(502, "a fault of the agent")
+NO_CAPACITY_ANSWER = ErrorAnswer(503, "no room")
+SHUTDOWN_ANSWER = ErrorAnswer(503, "the agent ends")
+READ_TIMEOUT_ANSWER = ErrorAnswer(408, "the rest of the request did not come in time")
+# Behind a request that is refused.
+REJECTED_BEHIND_ANSWER = ErrorAnswer(503, "behind a bad request")
+# After an internal fault: to a request that was sent to no server, and to one that may have run.
+AGENT_FAULT_ANSWER = ErrorAnswer(503, "a fault of the agent")
+AGENT_FAULT_AFTER_ATTEMPT_ANSWER = ErrorAnswer(502, "a fault of the agent")
 TIMEOUT_PATTERN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)(m|u)")
 TIMEOUT_UNITS_PER_S = {b"m": 1e3, b"u": 1e6}
 SESSION_PATTERN = re.compile(rb"(?:^|[;,])\s*sid=([^;,]*)")
@@ -135,7 +132,8 @@
         self.stalls: StallDetector = stalls
         self.request_number, self.awaits_answer, self.keep_alive, self.is_identified = 0, False, True, False
         self.handled_message: Message | None = None  # the message of the request being handled
-        self.refusal = None  # an error that ends the connection once all requests before it are answered
+        # The last answer; it ends the connection once all requests before it are answered.
+        self.refusal: ErrorAnswer | None = None
         # The latest time at which the connection was accepted, began a request (if identified), got an
         # answer, or began to be refused or half-closed.
         self.last_active_at = monotonic()
@@ -378,24 +376,26 @@
     def end_after_fault(self, client: ClientConnection):
         """Answers what was read on a connection, and ends it, after an internal fault of the agent."""
         client.end_reason = EndReason.AGENT_FAULT
-        errors = [AGENT_FAULT_AFTER_ATTEMPT_ERROR] * client.awaits_answer
-        errors += [AGENT_FAULT_ERROR] * (len(client.messages) + client.mid_message)
+        answers = [AGENT_FAULT_AFTER_ATTEMPT_ANSWER] * client.awaits_answer
+        answers += [AGENT_FAULT_ANSWER] * (len(client.messages) + client.mid_message)
         client.messages.clear()
         if client.awaits_answer:
             client.awaits_answer = False
             self.dispatch("on_client_disconnected", client.request_number)
-        for error in errors[:-1]:
-            self.write_error(client, error)
-        for error in errors[-1:]:
-            client.refusal = error
-            self.write_error(client, error, is_last=True)
+        for answer in answers[:-1]:
+            self.write_error(client, answer)
+        for answer in answers[-1:]:
+            client.refusal = answer
+            self.write_error(client, answer, is_last=True)
 
     def receive(self, client: ClientConnection) -> bool:
         """Waits for a client's input, unless many of its requests are queued; false at its end."""
         try:
             return self.wait_for_turn(client) and client.receive(None)
         except MalformedMessageError as error:
-            self.refuse_further_input(client, error)
+            self.refuse_further_input(client, error.answer)
+            if isinstance(error, UnreadableHeadError):
+                self.withdraw_last_request(client)
             return True
 
     def wait_for_turn(self, client: ClientConnection) -> bool:
@@ -417,57 +417,53 @@
             self.dispatch("on_client_disconnected", client.request_number)
         client.close()
 
-    def refuse_further_input(self, client: ClientConnection, error: MalformedMessageError):
-        """Discards further input; complete requests before the error are still answered.
-
-        If the error shows that the length of the last one may be wrong, the error is the answer to that one.
-        """
-        log.info("refused", extra={"status": error.status, "reason": str(error)})
-        client.refusal = error
+    def refuse_further_input(self, client: ClientConnection, refusal: ErrorAnswer):
+        """Discards further input; complete requests before it are still answered, and then `refusal`."""
+        log.info("refused", extra=refusal._asdict())
+        client.refusal = refusal
         client.discard_input()
         if client.end_reason is EndReason.PEER_CLOSED:
             client.end_reason = EndReason.REFUSED
-        if isinstance(error, UnreadableHeadError):
-            self.withdraw_last_request(client)
 
     def withdraw_last_request(self, client: ClientConnection):
-        """Drops the request that was read last, unless it is answered already; cancels its attempts."""
+        """Drops the request before unreadable input, unless it is answered already: its length may be wrong.
+
+        The refusal of the input is the answer to it.
+        """
         if client.messages:
             client.release_message(client.messages.pop())
         elif client.awaits_answer:
             client.keep_alive = False
             self.dispatch("on_request_withdrawn", client.request_number)
 
-    def end_connection(self, client: ClientConnection, reason: EndReason, error: MalformedMessageError):
+    def end_connection(self, client: ClientConnection, reason: EndReason, answer: ErrorAnswer):
         """Ends a connection at a time limit, for capacity or at the shutdown.
 
         Its client has neither closed it nor sent an invalid request.
 
-        A request that was read in part is answered with `error` first.
+        A request that was read in part is answered with `answer` first.
         """
         client.end_reason = reason
         if client.is_sending_request:
-            self.refuse_further_input(client, error)
+            self.refuse_further_input(client, answer)
             self.start_next_request(client)
         else:
             client.half_close()
 
-    def reject_request(self, client: ClientConnection, error: MalformedMessageError):
+    def reject_request(self, client: ClientConnection, answer: ErrorAnswer):
         """Answers a request that is invalid or that the reducer refuses, and ends the connection.
 
         Requests that were read after it are rejected.
         """
-        errors = [error] + [MalformedMessageError(503, "behind a bad request")] * self.discard_requests(
-            client
-        )
-        for each in errors[:-1]:
-            log.info("request refused", extra={"status": each.status, "reason": str(each)})
+        answers = [answer] + [REJECTED_BEHIND_ANSWER] * self.discard_requests(client)
+        for each in answers[:-1]:
+            log.info("request refused", extra=each._asdict())
             self.write_error(client, each)
-        self.refuse_further_input(client, errors[-1])
+        self.refuse_further_input(client, answers[-1])
 
-    def write_error(self, client: ClientConnection, error: MalformedMessageError, is_last: bool = False):
+    def write_error(self, client: ClientConnection, answer: ErrorAnswer, is_last: bool = False):
         """Writes the answer for an error; after the last one the connection is half-closed."""
-        client.write(format_response(error.status, str(error).encode(), CLOSE_HEADER * is_last), is_last)
+        client.write(format_response(answer.status, answer.reason.encode(), CLOSE_HEADER * is_last), is_last)
 
     def discard_requests(self, client: ClientConnection) -> int:
         """Drops the requests that were read, including a partial one; returns their number."""
@@ -508,7 +504,7 @@
             try:
                 request = self.parse_request(message, path)
             except MalformedMessageError as error:
-                self.reject_request(client, error)
+                self.reject_request(client, error.answer)
                 continue
             client.awaits_answer = True
             self.dispatch("on_request", client, request)
@@ -577,7 +573,7 @@
     def refuse_request(self, client: ClientConnection, status: int, message: str):
         """Answers a request that the reducer refuses, and ends the connection."""
         client.awaits_answer = False
-        self.reject_request(client, MalformedMessageError(status, message))
+        self.reject_request(client, ErrorAnswer(status, message))
 
     def answer(
         self, client: ClientConnection, status: int, content_type: bytes, body: bytes, retry_after: float
@@ -639,12 +635,12 @@
             if not client.is_lingering and (client.messages or client.has_unread_input()):
                 continue
             if not client.is_sending_request:
-                self.end_connection(client, EndReason.CAPACITY, NO_CAPACITY_ERROR)
+                self.end_connection(client, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
                 return True
             mid_request = mid_request or client
         if mid_request is None:
             return False
-        self.end_connection(mid_request, EndReason.CAPACITY, NO_CAPACITY_ERROR)
+        self.end_connection(mid_request, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
         return True
 
     def close_slowest(self) -> bool:
@@ -661,7 +657,7 @@
         slowest = min(slow, key=lambda each: each.message_began_at, default=None)
         if slowest is None:
             return False
-        self.end_connection(slowest, EndReason.CAPACITY, NO_CAPACITY_ERROR)
+        self.end_connection(slowest, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
         return True
 
     def close_idle(self) -> bool:
@@ -669,7 +665,7 @@
         idle = (client for client in self.clients if client.is_identified and client.is_between_requests())
         for client in sorted(idle, key=lambda client: client.last_active_at):
             if not client.has_unread_input():
-                self.end_connection(client, EndReason.CAPACITY, NO_CAPACITY_ERROR)
+                self.end_connection(client, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
                 return True
         return False
 
@@ -678,7 +674,7 @@
         for client in [
             each for each in self.clients if each.is_between_requests() and not each.has_unread_input()
         ]:
-            self.end_connection(client, EndReason.SHUTDOWN, SHUTDOWN_ERROR)
+            self.end_connection(client, EndReason.SHUTDOWN, SHUTDOWN_ANSWER)
 
     def sweep(self):
         """Closes overdue connections at each SWEEP_INTERVAL_S, forever."""
@@ -693,7 +689,7 @@
             if client.is_lingering:
                 client.close()
             else:
-                self.end_connection(client, EndReason.TIMED_OUT, READ_TIMEOUT_ERROR)
+                self.end_connection(client, EndReason.TIMED_OUT, READ_TIMEOUT_ANSWER)
         if self.is_closing_idle:
             self.close_between_requests()
 
@@ -747,7 +743,7 @@
         """
         for client in [*self.clients, *self.lingering]:
             if not client.is_lingering:
-                self.end_connection(client, EndReason.SHUTDOWN, SHUTDOWN_ERROR)
+                self.end_connection(client, EndReason.SHUTDOWN, SHUTDOWN_ANSWER)
             client.close()
 
 
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -13,8 +13,9 @@
 import msgspec
 from gevent import socket
 
-from cartdeal.agent.connection import Connection, MalformedMessageError
+from cartdeal.agent.connection import Connection
 from cartdeal.agent.connection_budget import ConnectionBudget
+from cartdeal.agent.message import MalformedMessageError
 from cartdeal.agent.reducer import AttemptEndReason, AttemptResult, Progress
 from cartdeal.agent.system_errors import (
     RETRY_PAUSE_S,
--- a/cartdeal/rig/fake_servers.py
+++ b/cartdeal/rig/fake_servers.py
@@ -12,7 +12,8 @@
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, MalformedMessageError
+from cartdeal.agent.connection import Connection
+from cartdeal.agent.message import MalformedMessageError
 from cartdeal.emulator.servers import capacity_share
 from cartdeal.simulated_time import seeded_random
 
--- a/cartdeal/rig/play.py
+++ b/cartdeal/rig/play.py
@@ -22,7 +22,8 @@
 import gevent
 from gevent import socket, subprocess
 
-from cartdeal.agent.connection import Connection, MalformedMessageError
+from cartdeal.agent.connection import Connection
+from cartdeal.agent.message import MalformedMessageError
 from cartdeal.emulator.rule_checker import RuleChecker
 from cartdeal.emulator.world import InvalidInputError, World, agent_settings
 from cartdeal.rig.fake_servers import LOOPBACK_HOST, DiscoveryService, Server
--- a/cartdeal/rig/soak/clients.py
+++ b/cartdeal/rig/soak/clients.py
@@ -6,7 +6,8 @@
 import gevent
 from gevent import socket
 
-from cartdeal.agent.connection import Connection, MalformedMessageError
+from cartdeal.agent.connection import Connection
+from cartdeal.agent.message import MalformedMessageError
 from cartdeal.rig.soak.relay import LOOPBACK_HOST
 from cartdeal.rig.soak.rule_checker import SoakRequest
 
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -15,7 +15,8 @@
 from gevent import socket
 from gevent.event import Event
 
-from cartdeal.agent.connection import Connection, MalformedMessageError
+from cartdeal.agent.connection import Connection
+from cartdeal.agent.message import MalformedMessageError
 
 
 def answer(status: int, body: bytes = b"", extra_headers: bytes = b"") -> bytes:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -7,7 +7,8 @@
 import pytest
 from gevent import socket
 
-from cartdeal.agent.connection import MAX_BODY_BYTES, Connection, MalformedMessageError
+from cartdeal.agent.connection import MAX_BODY_BYTES, Connection
+from cartdeal.agent.message import MalformedMessageError
 from cartdeal.agent.reducer import AttemptEndReason, Progress, Request
 from cartdeal.agent.upstream import Attempt, encode_request, milliseconds_left
 from examples.toy import Server
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -242,7 +242,7 @@
     """Guards against an agent that hangs: it read a closed connection for ever, without a yield."""
     connection, client = send_request_with_too_long_body(deployment)
     client.close()
-    deployment.agent.front.reject_request(client, front.READ_TIMEOUT_ERROR)
+    deployment.agent.front.reject_request(client, front.READ_TIMEOUT_ANSWER)
     assert deployment.ask("/read/other")[0] == 200
     connection.close()
 
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -14,6 +14,7 @@
 from cartdeal.agent.discovery import ListStream
 from cartdeal.agent.effects import CONNECTION_MEMORY_MB
 from cartdeal.agent.front import ClientConnection
+from cartdeal.agent.upstream import ServerConnection
 from tests.scene import Deployment, encode_request, read_answer, until
 
 BODY = b"x" * (MAX_BODY_BYTES - 100)
@@ -279,3 +280,70 @@
         until(lambda: sum(each() is not None for each in references) <= 1)
     finally:
         gc.enable()
+
+
+REFUSED_INPUT = {
+    "no request": b"no request\r\n\r\n",
+    "too long a body": encode_request("/once/x", "POST", Content_Length=60_000_000),
+    "bytes behind a request": encode_request("/once/x", "POST", BODY, Content_Length=60_000),
+    "unknown class": encode_request("/none/x", "POST", BODY) + encode_request("/once/x"),
+    "too long a head": encode_request("/read/x", X_Other="o" * 30_000),
+}
+
+
+@pytest.mark.parametrize("text", REFUSED_INPUT.values(), ids=REFUSED_INPUT)
+def test_refused_connections_are_freed_without_garbage_collection(deployment, text):
+    """Guards against closed connections in memory: a stored error referred to its frames, and they to it."""
+    front = deployment.agent.front
+    gc.collect()
+    gc.disable()
+    try:
+        references = []
+        for _ in range(20):
+            client = deployment.connect()
+            (connection,) = wait_for(lambda: front.clients)
+            references.append(weakref.ref(connection))
+            del connection
+            client.sock.sendall(text)
+            while read_answer(client):
+                pass
+            client.close()
+            until(lambda: not (front.clients or front.lingering))
+        until(lambda: sum(each() is not None for each in references) <= 1)
+    finally:
+        gc.enable()
+
+
+@pytest.mark.parametrize("does", ["garbage", "huge", "both", "long"])
+def test_connections_of_malformed_answers_are_freed_without_garbage_collection(deployment, monkeypatch, does):
+    """Guards against closed connections to servers in memory, which their stored parse error kept there."""
+    references, close = [], ServerConnection.close
+
+    def recording_close(connection):
+        references.append(weakref.ref(connection))
+        close(connection)
+
+    monkeypatch.setattr(ServerConnection, "close", recording_close)
+    gc.collect()
+    gc.disable()
+    try:
+        for _ in range(20):
+            assert deployment.ask(f"/once/x?do={does}", "POST")[0] in (502, 503)
+        assert len(references) >= 5
+        until(lambda: sum(each() is not None for each in references) <= 1)
+    finally:
+        gc.enable()
+
+
+def test_closed_connection_holds_no_buffer(deployment):
+    """Guards against buffers that outlive their claim on the budget, whatever refers to the connection."""
+    client = deployment.connect()
+    (connection,) = wait_for(lambda: deployment.agent.front.clients)
+    request = encode_request("/once/x", "POST", BODY)
+    client.sock.sendall(request * 2 + request[:-9])
+    until(lambda: deployment.received_paths())
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    client.close()
+    until(lambda: connection.closed)
+    assert not (connection.buffer or connection.messages or connection.unsent or connection.unparsed)
+    assert not connection.message.body and not connection.memory.held_bytes
