Serve no answer whose stated length may be too short

Cause: bytes behind an answer were all taken for surplus, which closed the connection and left the answer good; the parser passes over empty lines without a word. Ruled out: the count of the body.

Change: answers are parsed up to their exact ends, and what has come behind, read or unread, is looked at. A second answer, control characters behind text, and anything behind whole JSON or the last chunk don't belong to the answer: it is served as before. What may be the rest of it makes the attempt malformed, which may have run. Only a 200 is judged: of other answers the head alone counts.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -32,6 +32,7 @@
 MIN_SOCKET_TIMEOUT_S = 0.001  # a timeout of 0 would make the socket non-blocking
 READ_RETRY_TIMEOUT_S = 2.0  # how long a read that fails for lack of memory is retried
 WRITE_TIMEOUT_S = 10.0  # how long a peer may take to accept the rest of a message
+MAX_SURPLUS_BYTES = 4096  # of each read, kept of the input behind a response
 MAX_DISCARDED_BYTES = 1 << 20  # input that is discarded after a half-close
 
 
@@ -105,6 +106,7 @@
         self.partial_line = b""  # an incomplete line of framing, which may span several reads
         self.chunk_bytes = None  # bytes of the open chunk in the last read; None if no chunk is open
         self.has_surplus_input = False  # whether more than the expected response was received
+        self.surplus = b""  # the beginning of the input behind it, unless it ends with a chunk
         self.discards_input = False  # whether input is discarded unparsed until the peer ends
         self.mid_message = False  # whether a message has begun and is not complete
         self.message = Message()
@@ -187,8 +189,15 @@
         return min(end, position + self.content_length - self.body_bytes)
 
     def may_begin_message(self, position: int, end: int) -> bool:
-        """Whether the input between two positions is to be parsed as the beginning of a message."""
-        return True
+        """Whether the input between two positions is to be parsed as the beginning of a message.
+
+        Behind a response that its owner has not taken yet it is not, and is kept as surplus.
+        """
+        if not (self.reads_responses and self.messages):
+            return True
+        self.surplus += self.view[position : min(end, position + MAX_SURPLUS_BYTES)]
+        self.has_surplus_input = True
+        return False
 
     def unparseable_input_error(self, error: Exception) -> MalformedMessageError:
         """The error for input that the parser, or one of its callbacks, has refused."""
@@ -506,7 +515,7 @@
         """
         if self.closed and not self.is_parsing:
             self.parser = None
-            self.buffer, self.unsent = bytearray(), b""
+            self.buffer, self.unsent, self.surplus = bytearray(), b"", b""
             self.view = memoryview(self.buffer)
             self.message, self.input_at_first_chunk, self.body_end = Message(), None, 0
 
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -13,10 +13,11 @@
 import msgspec
 from gevent import socket
 
-from cartdeal.agent.connection import Connection
+from cartdeal.agent.connection import MAX_SURPLUS_BYTES, Connection
 from cartdeal.agent.connection_budget import ConnectionBudget
 from cartdeal.agent.message import MalformedMessageError
 from cartdeal.agent.reducer import AttemptEndReason, AttemptResult, Progress
+from cartdeal.agent.surplus import may_be_rest_of_body
 from cartdeal.agent.system_errors import (
     RETRY_PAUSE_S,
     is_no_route,
@@ -74,6 +75,16 @@
         )
         self.address = address
 
+    def receive_surplus(self):
+        """Reads what has come behind the answer by now and was not read with it."""
+        if self.has_unread_input():
+            try:
+                self.sock.settimeout(0.0)
+                self.surplus += self.sock.recv(MAX_SURPLUS_BYTES)
+            except OSError:
+                pass  # the answer is whole; the next use of the connection finds the error
+            self.has_surplus_input = True
+
 
 class Attempt:
     """A running attempt or probe: its connection and progress. Times are monotonic seconds."""
@@ -325,7 +336,10 @@
             raise error
 
     def read(self, attempt: Attempt, deadline: float):
-        """Reads an answer and records the attempt's progress; None if the connection ends before it does."""
+        """Reads an answer and records the attempt's progress; None if the connection ends before it does.
+
+        Raises MalformedMessageError for an answer whose length may be too short, and what the socket raises.
+        """
         connection = attempt.connection
         while not connection.messages:
             if not connection.receive(time_left(deadline)) and not connection.messages:
@@ -333,7 +347,12 @@
             self.last_read_at = monotonic()
             if connection.message.status >= 200:
                 attempt.progress = Progress.HEAD_RECEIVED
-        return connection.messages.pop(0)
+        connection.receive_surplus()
+        answer = connection.messages.pop(0)
+        has_stated_length = connection.content_length is not None
+        if answer.status == 200 and has_stated_length and may_be_rest_of_body(answer, connection.surplus):
+            raise MalformedMessageError(502, "bytes behind the answer that may be the rest of it")
+        return answer
 
     # Connections
 
--- a/cartdeal/rig/soak/clients.py
+++ b/cartdeal/rig/soak/clients.py
@@ -25,6 +25,10 @@
 class ClientConnection(Connection):
     """A client's connection, which takes several answers in a row; one to a server takes one at a time."""
 
+    def may_begin_message(self, position: int, end: int) -> bool:
+        """Takes all input behind an answer for another answer."""
+        return True
+
     def on_message_begin(self):
         """Keeps the answers that were received and not yet read."""
         messages, self.messages = self.messages, []
--- a/tests/test_wrong_lengths.py
+++ b/tests/test_wrong_lengths.py
@@ -5,6 +5,7 @@
 from gevent import socket
 
 from cartdeal.agent import connection as agent_connection
+from examples.toy import Server, answer
 from tests.scene import encode_request, read_answer, until
 
 pytestmark = pytest.mark.usefixtures("bounded")
@@ -92,3 +93,77 @@
         sock.sendall(data)
     except OSError:
         pass  # the agent has refused it and closed the connection
+
+
+RECORD = b"record 7\n" + SHEET
+JSON_HEADER = b"Content-Type: application/json; charset=utf-8\r\n"
+JSON_RECORD = b'{"birds": [1, 2]}\n'
+CHUNKED_ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"
+
+
+def short_answer(body, stated, headers=b""):
+    """An answer that states a length shorter than its body."""
+    return answer(200, body[:stated], headers) + body[stated:]
+
+
+DOUBTFUL_ANSWERS = {
+    "text": short_answer(RECORD, 200),
+    "text without its last byte": short_answer(RECORD, len(RECORD) - 1),
+    "text of which nothing is stated": short_answer(RECORD, 0),
+    "text that ends in an empty line": short_answer(RECORD + b"\r\n", len(RECORD)),
+    "text in Latin-1": short_answer(b"hall: caf\xe9\n", 9),
+    "bytes": short_answer(bytes(range(256)), 100),
+    "bytes that begin as text": short_answer(b"%PDF\0\1\2\3", 4, b"Content-Type: application/pdf\r\n"),
+    "JSON": short_answer(JSON_RECORD, 9, JSON_HEADER),
+    "JSON without its last byte": short_answer(JSON_RECORD, len(JSON_RECORD) - 1, JSON_HEADER),
+    "a number in JSON": short_answer(b"12345", 3, JSON_HEADER),
+    "lines of JSON": short_answer(
+        JSON_RECORD * 2, len(JSON_RECORD), b"Content-Type: application/x-ndjson\r\n"
+    ),
+}
+
+
+@pytest.mark.parametrize("response", DOUBTFUL_ANSWERS.values(), ids=DOUBTFUL_ANSWERS)
+def test_answer_with_too_short_a_length_is_not_served(deploy, monkeypatch, response):
+    """Guards against serving the beginning of an answer, whose rest stands behind its stated length."""
+    monkeypatch.setitem(Server.RESPONSES, "short", response)
+    deployment = deploy(servers=2)
+    assert deployment.ask("/once/x?do=short", "POST", X_Timeout="60000m") == (502, b"")
+    assert len(deployment.received_paths()) == 1
+    until(lambda: not any(server.connections for server in deployment.servers))
+
+
+def test_answer_is_not_served_if_its_rest_waits_in_the_system(deploy, monkeypatch):
+    """Guards against serving an answer whose stated length ends with a read, its rest unread behind it."""
+    head_bytes = len(answer(200, bytes(1000))) - 1000
+    stated = agent_connection.MIN_READ_SPACE_BYTES - head_bytes
+    monkeypatch.setitem(Server.RESPONSES, "short", short_answer(SHEET * 20, stated))
+    deployment = deploy()
+    assert deployment.ask("/once/x?do=short", "POST") == (502, b"")
+
+
+WHOLE_ANSWERS = {
+    "a second copy": (answer(200, RECORD) * 2, RECORD),
+    "a second answer behind an empty line": (answer(200, RECORD) + b"\r\n" + answer(200, b"other"), RECORD),
+    "the head of a second answer": (answer(200, RECORD) + answer(500)[:20], RECORD),
+    "noise behind text": (answer(200, RECORD) + b"\xff\x00\x93 noise", RECORD),
+    "noise behind JSON": (answer(200, JSON_RECORD, JSON_HEADER) + b"noise", JSON_RECORD),
+    "noise behind chunks": (CHUNKED_ANSWER + b"noise", b"one"),
+}
+
+
+@pytest.mark.parametrize("response, body", WHOLE_ANSWERS.values(), ids=WHOLE_ANSWERS)
+def test_answer_with_bytes_behind_it_that_are_not_its_rest_is_served(deploy, monkeypatch, response, body):
+    """Guards against refusing good answers for a second answer or noise right behind them."""
+    monkeypatch.setitem(Server.RESPONSES, "surplus", response)
+    deployment = deploy()
+    assert deployment.ask("/once/x?do=surplus", "POST") == (200, body)
+    assert deployment.ask() == (200, b"s0 ")
+
+
+def test_request_that_never_ran_is_sent_again_though_noise_follows_the_answer(deploy, monkeypatch):
+    """Guards against giving up a request for bytes behind an answer of which only the head counts."""
+    monkeypatch.setitem(Server.RESPONSES, "full", Server.RESPONSES["full"] + b"noise")
+    deployment = deploy(servers=2)
+    assert deployment.ask("/once/x?do=full", "POST", X_Timeout="300m")[0] == 503
+    assert len(deployment.received_paths()) == 2
