Refuse a header that may frame a message before its head ends

Cause: such names were kept until the head's end refuses them, and a kept field takes some hundred bytes more than its text, which alone is claimed. Ruled out: other names (not kept), a repeated one.

Change: the first such name refuses the message, with the same status and words as before.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -280,6 +280,9 @@
         if self.is_head_complete:
             return  # a trailer must not replace a header that has already been acted on
         name, headers = name.lower(), self.message.headers
+        if AMBIGUOUS_FRAMING.match(name) and name not in FRAMING_HEADERS:
+            # Refused before its head ends: there is no bound on how many such names a head has.
+            raise self.record_error(400, "a header that may frame the message")
         if not self.is_retained_header(name):
             return
         # The parser leaves trailing whitespace in a value. A tab after a transfer coding is kept, because the
@@ -291,12 +294,8 @@
         self.head_bytes += len(name) + len(value)
 
     def is_retained_header(self, name: bytes) -> bool:
-        """Whether a header is kept: its reader may need it, or it may frame the message."""
-        return (
-            self.retained_headers is None
-            or name in self.retained_headers
-            or bool(AMBIGUOUS_FRAMING.match(name))
-        )
+        """Whether a header is kept: its reader may need it, or it frames the message."""
+        return self.retained_headers is None or name in self.retained_headers or name in FRAMING_HEADERS
 
     def on_headers_complete(self):
         """Checks the head and how it frames the body."""
@@ -309,8 +308,6 @@
             raise self.record_error(505, "not HTTP/1.1")
         if self.parser.should_upgrade():
             raise self.record_error(400, "asks for another protocol")
-        if any(AMBIGUOUS_FRAMING.match(name) and name not in FRAMING_HEADERS for name in headers):
-            raise self.record_error(400, "a header that may frame the message")
         length, coding = (headers.get(name) for name in FRAMING_HEADERS)
         if coding is not None and coding.lower() != b"chunked":
             raise self.record_error(400, "a transfer coding other than chunked")
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -9,7 +9,7 @@
 import pytest
 from gevent import socket, subprocess
 
-from cartdeal.agent import discovery, effects, request_ids
+from cartdeal.agent import discovery, effects, front, request_ids
 from cartdeal.agent.connection import MAX_BODY_BYTES
 from cartdeal.agent.discovery import ListStream
 from cartdeal.agent.effects import CONNECTION_MEMORY_MB
@@ -347,3 +347,21 @@
     until(lambda: connection.closed)
     assert not (connection.buffer or connection.messages or connection.unsent or connection.unparsed)
     assert not connection.message.body and not connection.memory.held_bytes
+
+
+@pytest.mark.parametrize("name", ["content_length{}", "transfer-encoding{}", "Content-Type", "x-other-{}"])
+def test_memory_of_a_head_with_many_short_fields_is_bounded(deployment, name):
+    """Guards against heads that hold many times their bytes: each field with a name of its own was kept."""
+    client = deployment.connect()
+    (connection,) = wait_for(lambda: deployment.agent.front.clients)
+    fields = [name.format(number) + ": 1\r\n" for number in range(600)]
+    client.sock.sendall(b"GET /read/x HTTP/1.1\r\n" + "".join(fields).encode() + b"X-Last: 1\r\n")
+    until(lambda: connection.discards_input or is_read(connection))
+    assert len(connection.message.headers) <= len(front.REQUEST_HEADERS)
+    if "{}" in name and not name.startswith("x-"):
+        assert read_answer(client)[0] == 400
+
+
+def is_read(connection):
+    """Whether all that has come is parsed."""
+    return connection.framing_bytes > 0 and not connection.has_unread_input()
