Begin no attempt for a client that may have closed unseen

With 3,000 requests (207 kB) behind one whose attempt breaks, it is sent again 0.3 s after the close; with 500 (34 kB) the close is noticed.

Cause: reading ahead stops at 16 requests. Once the receive window is full, the end of the stream waits at the client's machine, and peer_ended can't see it. Ruled out: the requests behind the first one, which are dropped, since the answer makes the client's machine reset; the ids of clients that left (409).

Change: before an attempt's first byte a client counts as possibly gone if its queue is full, 32 KiB or more are unread, and its last sign is 0.05 s old. Its request is given up as at its deadline; the answer tells whether it is there. A client that stays, and sends so much ahead, so loses the retries of a request.

--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -15,10 +15,13 @@
 more are read. The timeout of each runs from the arrival of its last byte.
 """
 
+import fcntl
 import hashlib
 import logging
 import re
 import select
+import sys
+import termios
 from enum import StrEnum
 from time import monotonic
 
@@ -55,6 +58,8 @@
 # Reading from a connection pauses while this many of its requests, or this much memory of them, is queued.
 MAX_PIPELINED_REQUESTS = 16
 MAX_PIPELINED_BYTES = 32 * 1024
+UNSEEN_END_BYTES = 32 * 1024  # half of Linux's first receive window; the end behind so much may find no room
+UNSEEN_END_GRACE_S = 0.05  # after the last sign of a client; no attempt may begin 0.1 s after its close
 UNREAD_POLL_INTERVAL_S = 0.05  # between checks for unread input while reading is paused
 
 REASON_PHRASES = {
@@ -202,6 +207,17 @@
         # If the poll fails, the request is not held back: no read may follow.
         return bool(self.unparsed) or is_ready(self.sock, select.POLLIN, if_unknown=False)
 
+    def may_have_ended_unseen(self) -> bool:
+        """Whether the client may have closed the connection for a while without a sign of it.
+
+        While the queue is full, input stays unread. Behind enough of it the end of the stream can't arrive:
+        it waits at the client's machine, with the input that finds no room. An answer to a client that has
+        closed is a sign, because its machine then resets the connection.
+        """
+        if not self.has_full_queue() or monotonic() < self.last_active_at + UNSEEN_END_GRACE_S:
+            return False
+        return unread_bytes(self.sock) >= UNSEEN_END_BYTES
+
     def take_message(self) -> Message:
         """Takes the next queued message; its memory is returned by `finish_message`."""
         self.handled_message = self.messages.pop(0)
@@ -758,6 +774,16 @@
     )
 
 
+def unread_bytes(sock) -> int:
+    """The bytes that have arrived on the socket and are not read; 0 if the system doesn't tell."""
+    count = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def begins_request(data) -> bool:
     """Whether the data may be the beginning of a request."""
     try:
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -366,11 +366,20 @@
             if pending.deadline > shutdown_deadline:
                 self.effects.append(("set_deadline_timer", number, shutdown_deadline))
 
+    def on_client_unseen(self, number: int):
+        """An attempt is due, and the client of the request may have closed its connection unseen."""
+        self.metrics.count("clients_unseen")
+        self.give_up(number, "given up, since its client may have gone")
+
     def on_deadline_passed(self, number: int):
         """Answer a request that the balancer should have answered but missed because of a fault."""
+        self.give_up(number, "overdue")
+
+    def give_up(self, number: int, reason: str):
+        """Answer a request, if it is not answered yet, in place of the balancer; `reason` is for the log."""
         pending = self.requests.get(number)
         if pending and pending.client is not None:
-            self.log_note(f"request {pending.request.id.decode('latin-1')} overdue")
+            self.log_note(f"request {pending.request.id.decode('latin-1')} {reason}")
             # A request that was never sent may be retried, so failing it would be needlessly ambiguous. But
             # if it awaits admission, an earlier attempt may have run at another agent, which only admission
             # control can tell.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -285,3 +285,76 @@
     assert server not in balancer.servers and not context.reducer.pending_count
     context.run_event(0.0, "on_server_list", ServerList(5, False, (entry,)))
     assert len(balancer.servers) == 2  # the same list again is no further move
+
+
+def send_ahead(deployment, behind):
+    """A client whose first request is in flight; `behind` more are sent as far as there is room."""
+    client = deployment.connect()
+    first = encode_request("/read/first?do=wait", X_Timeout="60000m")
+    data = first + b"".join(encode_request("/once/behind", "POST") for _ in range(behind))
+    client.sock.settimeout(0.0)
+    try:
+        while data:
+            data = data[client.sock.send(data) :]
+    except BlockingIOError:
+        pass
+    until(deployment.received_paths)
+    return client
+
+
+def break_attempts(deployment):
+    """Ends the connections of the servers, so that requests which may be repeated are sent again."""
+    for server in deployment.servers:
+        for connection in list(server.connections):
+            connection.close()
+
+
+@pytest.mark.parametrize("behind", [100, 3000, 20_000])
+def test_no_further_attempt_begins_for_a_client_that_closed_with_much_unread(tmp_path, bounded, behind):
+    """Guards against attempts after a close whose sign can't arrive, since unread input takes the room."""
+    deployment = Deployment(tmp_path, servers=2)
+    client = send_ahead(deployment, behind)
+    client.close()
+    agent = deployment.agent
+    (connection,) = agent.front.clients or [None]
+    if connection:
+        connection.last_active_at -= 1.0
+    break_attempts(deployment)
+    until(lambda: not (agent.front.clients or agent.reducer.requests))
+    assert deployment.received_paths() == ["/read/first?do=wait"]
+    deployment.stop()
+
+
+@pytest.mark.parametrize("behind, status, attempts", [(100, 200, 2), (3000, 502, 1)])
+def test_client_that_stays_with_much_unread_is_answered(tmp_path, bounded, behind, status, attempts):
+    """Guards against closing such a client without an answer, and against refusing retries to usual ones."""
+    deployment = Deployment(tmp_path, servers=2)
+    client = send_ahead(deployment, behind)
+    (connection,) = deployment.agent.front.clients
+    until(connection.has_full_queue)
+    connection.last_active_at -= 1.0
+    break_attempts(deployment)
+    if attempts == 2:
+        until(lambda: len(deployment.received_paths()) == 2)
+        deployment.servers[0].released.set()
+        deployment.servers[1].released.set()
+    client.sock.settimeout(5.0)
+    assert read_answer(client)[0] == status
+    assert read_answer(client)[0] == 200
+    assert deployment.received_paths().count("/read/first?do=wait") == attempts
+    client.close()
+    deployment.stop()
+
+
+def test_id_of_a_request_whose_client_left_is_refused_while_it_may_run_and_after(deployment):
+    """Guards against running an id twice that comes again after its client has left."""
+    client = deployment.connect()
+    client.sock.sendall(encode_request("/once/x?do=wait", "POST", X_Request_ID="left"))
+    until(deployment.received_paths)
+    client.close()
+    until(lambda: not deployment.agent.reducer.pending_count)
+    assert deployment.ask("/once/x", "POST", X_Request_ID="left")[0] == 409
+    deployment.servers[0].released.set()
+    until(lambda: not deployment.agent.reducer.requests)
+    assert deployment.ask("/once/x", "POST", X_Request_ID="left")[0] == 409
+    assert deployment.received_paths() == ["/once/x?do=wait"]
