Send nothing to a server whose address a newer one is listed with

Cause: a list entry was compared with the one before of the same id alone. While the removal of the old server was not told, both stayed ready with one address. Ruled out: connections (kept by server), attempts that wait to connect (may_send), restarts under one id (boot_ms), members of a fleet (incarnations).

Change: ServerAddresses knows which server was listed last with an address; the one before counts as draining until it is listed elsewhere, or again without the newer one. Servers that come with one address in the same list share it.

--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -16,6 +16,7 @@
 from cartdeal.agent.invariants import Destination, Invariant, InvariantMonitor
 from cartdeal.agent.metrics import Metrics
 from cartdeal.agent.request_ids import RequestIds
+from cartdeal.agent.server_addresses import ServerAddresses
 from cartdeal.agent.start_times import StartTimes
 from cartdeal.balancer import Balancer
 from cartdeal.balancer_types import (
@@ -193,6 +194,7 @@
         # These two contain a server until the list reports it as removed.
         self.server_indices: dict[bytes, int] = {}
         self.servers: dict[int, KnownServer] = {}
+        self.addresses = ServerAddresses()
         self.zone_indices = {name: index for index, name in enumerate(config.settings.zones)}
         settings = config.settings.balancer_settings(config.seed)
         # A second set of classes, for requests without the idempotency key or method that their class needs
@@ -409,12 +411,13 @@
         changes = [
             self.remove_server(entry.name.encode()) for entry in server_list.entries if self.has_moved(entry)
         ]
-        changes += [self.listed_server(entry) for entry in server_list.entries if entry.state != "left"]
+        listed, superseded = self.listed_servers(server_list)
+        changes += listed
         if server_list.is_complete:
             listed_names = {entry.name for entry in changes}
             removed_names += [name for name in self.server_indices if name not in listed_names]
         changes += [self.remove_server(name) for name in removed_names if name in self.server_indices]
-        self.balancer.on_server_list(changes, is_current_watch)
+        self.balancer.on_server_list(self.drain_superseded(changes, superseded), is_current_watch)
 
     def on_watch_established(self):
         """A watch was established, and the list has not changed."""
@@ -441,6 +444,7 @@
         index = self.server_indices.pop(name)
         del self.servers[index]
         self.start_times.remove(name)
+        self.addresses.remove(index)
         self.close_idle(index)
         return ListedServer(index, name, 0, 0, 0, ServerState.GONE, 1.0, 0.0)
 
@@ -452,6 +456,44 @@
         known = self.balancer.servers.get(index)
         return known is not None and (known.zone, known.cell) != (self.zone_index(entry), entry.cell)
 
+    def listed_servers(self, server_list: ServerList) -> tuple[list[ListedServer], list[int]]:
+        """Record the entries of a list.
+
+        Returns them in the balancer's form, and the indices of the servers that they supersede.
+        """
+        first_new_index, changes, superseded = self.next_server_index, [], []
+        for entry in server_list.entries:
+            if entry.state == "left":
+                continue
+            listed = self.listed_server(entry)
+            changes.append(listed)
+            older = self.addresses.list_server(listed.server_index, entry.address, first_new_index)
+            if older is not None:
+                superseded.append(older)
+        return changes, superseded
+
+    def drain_superseded(self, changes: list[ListedServer], superseded: list[int]) -> list[ListedServer]:
+        """Return the changes of a list, with all superseded servers as draining."""
+        named = {each.server_index for each in changes}
+        others = [self.balancer.servers.get(index) for index in superseded if index not in named]
+        changes = changes + [self.superseded_server(other) for other in others if other]
+        return [self.drain_if_superseded(each) for each in changes]
+
+    def drain_if_superseded(self, listed: ListedServer) -> ListedServer:
+        """Return the server as listed, or as a draining one if a newer server has its address."""
+        if not self.addresses.is_superseded(listed.server_index):
+            return listed
+        self.close_idle(listed.server_index)
+        return listed._replace(state=ServerState.DRAINING)
+
+    def superseded_server(self, server) -> ListedServer:
+        """Return a server of the balancer, which the list does not name, as a superseded one."""
+        name = next(name for name, index in self.server_indices.items() if index == server.index)
+        self.log_note(f"server {name.decode(errors='replace')} superseded at its address")
+        return ListedServer(
+            server.index, name, server.zone, 0, server.cell, server.state, server.weight, server.started_at
+        )
+
     def listed_server(self, entry) -> ListedServer:
         """Record a list entry; return it in the balancer's form."""
         name = entry.name.encode()
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -5,8 +5,8 @@
 from cartdeal.agent import configuration
 from cartdeal.agent.configuration import ServerEntry, ServerList
 from cartdeal.agent.reducer import AttemptEndReason, AttemptResult, Progress, Reducer, Request
-from cartdeal.balancer_types import Outcome
-from tests.scene import agent_config, assert_matches_trace, config_file
+from cartdeal.balancer_types import Outcome, ServerState
+from tests.scene import SETTINGS, agent_config, assert_matches_trace, config_file
 
 SERVERS = [{"uid": f"s{n}", "endpoint": f"127.0.0.1:{n}", "az": "a"} for n in (1, 2)]
 
@@ -28,10 +28,10 @@
 class ReducerHarness:
     """Passes events to a reducer on a simulated clock, and prints its effects as lines of a trace."""
 
-    def __init__(self, folder, wall_offset=1000.0):
+    def __init__(self, folder, wall_offset=1000.0, **more):
         known = {"rev": 3, "all": True, "targets": SERVERS}
         self.lines, self.servers_by_attempt = [], {}
-        self.reducer = Reducer(agent_config(folder, known=known), 100.0, 100.0 + wall_offset)
+        self.reducer = Reducer(agent_config(folder, known=known, **more), 100.0, 100.0 + wall_offset)
         self.record_effects("start")
 
     def run_event(self, delay, event, *args):
@@ -124,6 +124,71 @@
     assert_matches_trace("list", harness.lines)
 
 
+def ready_servers(harness):
+    """The names of the servers to which attempts may go."""
+    reducer = harness.reducer
+    states = {index: each.state for index, each in reducer.balancer.servers.items()}
+    return {name for name, index in reducer.server_indices.items() if states[index] is ServerState.READY}
+
+
+def list_servers(harness, version, *entries, is_complete=False):
+    listed = tuple(ServerEntry(name, f"127.0.0.1:{port}", "a", state=state) for name, port, state in entries)
+    harness.run_event(1.0, "on_server_list", ServerList(version, is_complete, listed))
+
+
+@pytest.mark.parametrize("is_complete", [False, True])
+def test_server_whose_address_a_newer_one_has_gets_nothing_more(tmp_path, is_complete):
+    """Guards against taking a new process for the one that had its address, has gone and is listed yet."""
+    harness = ReducerHarness(tmp_path)
+    rest = (("s1", 1, "active"), ("s2", 2, "active")) if is_complete else ()
+    list_servers(harness, 4, *rest, ("n1", 1, "active"), is_complete=is_complete)
+    assert ready_servers(harness) == {b"s2", b"n1"}
+    list_servers(harness, 5, ("s1", 1, "active"))  # the old one's entry comes once more
+    assert ready_servers(harness) == {b"s2", b"n1"}
+    list_servers(harness, 6, ("s1", 5, "active"))  # it lives, at another address
+    assert ready_servers(harness) == {b"s1", b"s2", b"n1"}
+    list_servers(harness, 7, ("s1", 1, "active"), ("n1", 5, "active"))  # the two change places
+    assert ready_servers(harness) == {b"s1", b"s2", b"n1"}
+    list_servers(harness, 8, ("s1", 1, "left"), ("n1", 5, "left"), ("n2", 1, "active"))
+    assert ready_servers(harness) == {b"s2", b"n2"}
+    addresses = harness.reducer.addresses
+    assert len(addresses.addresses) == len(addresses.owners) == 2 and not addresses.successors
+
+
+def test_superseded_server_is_used_again_when_it_is_listed_without_the_newer_one(tmp_path):
+    """Guards against leaving out a server for good after an entry that was wrong."""
+    harness = ReducerHarness(tmp_path)
+    list_servers(harness, 4, ("n1", 1, "active"))
+    list_servers(harness, 5, ("n1", 1, "left"), ("s1", 1, "active"))
+    assert ready_servers(harness) == {b"s1", b"s2"}
+    list_servers(harness, 6, ("n2", 1, "active"))
+    list_servers(harness, 7, ("n2", 1, "left"))
+    assert ready_servers(harness) == {b"s2"}  # it is not known what runs at the address
+    list_servers(harness, 8, ("s1", 1, "active"))
+    assert ready_servers(harness) == {b"s1", b"s2"}
+
+
+def test_servers_listed_with_one_address_at_once_are_all_used(tmp_path):
+    """Guards against leaving out servers that share an address, as behind a relay."""
+    harness = ReducerHarness(tmp_path)
+    list_servers(harness, 4, ("n1", 7, "active"), ("n2", 7, "active"))
+    list_servers(harness, 5, ("n1", 7, "active"), ("n2", 7, "active"))
+    assert ready_servers(harness) == {b"s1", b"s2", b"n1", b"n2"}
+
+
+def test_repeat_does_not_go_to_a_new_process_at_the_address_of_one_in_the_group(tmp_path):
+    """Guards against a second execution by a process of another group at the address of a listed server."""
+    classes = [*SETTINGS["workloads"], SETTINGS["workloads"][1] | {"name": "by-cell", "group": "cell"}]
+    harness = ReducerHarness(tmp_path, settings=SETTINGS | {"workloads": classes})
+    harness.send_request(3)
+    first = harness.servers_by_attempt[1, 0]
+    other_port = 2 if first == 0 else 1
+    new_entry = ServerEntry("n1", f"127.0.0.1:{other_port}", "a", cell=1)
+    harness.run_event(0.1, "on_server_list", ServerList(4, False, (new_entry,)))
+    harness.end_attempt(1, 0, AttemptEndReason.CONNECTION_BROKEN, Progress.WRITTEN)
+    assert (1, 1) not in harness.servers_by_attempt
+
+
 def test_state_stays_bounded_with_many_new_servers_ids_and_requests(tmp_path):
     harness = ReducerHarness(tmp_path)
     reducer, balancer = harness.reducer, harness.reducer.balancer
