Reject a request that may have run only if its repeat comes in the window

Cause: give_up rejected while now < sent + window, without the wait that it told and without a margin. Ruled out: the agent's own attempts, which keep one.

Change: it rejects if the wait, the longest time in the agent's queue and the margin end within the window, and fails the request else.

--- a/cartdeal/balancer.py
+++ b/cartdeal/balancer.py
@@ -561,28 +561,37 @@
 
     def give_up(self, request, now):
         """Ends the request without a result: rejects it if the client may safely repeat it, else fails it."""
-        request_class = request.request_class
-        may_repeat = not request.possible_executions or request_class.idempotency is Idempotency.IDEMPOTENT
-        if (
-            not may_repeat
-            and request_class.idempotency is Idempotency.DEDUPLICATED
-            and request_class.deduplication_scope is DeduplicationScope.ALL
-        ):
-            may_repeat = all(
-                now < sent + request_class.deduplication_window
-                for _, sent in request.possible_executions.values()
-            )
-        if may_repeat:
-            retry_after = min(
-                self.settings.max_retry_after,
-                request_class.latency_target * (0.2 + 0.3 * self.random_fraction()),
-            )
+        repeat_until = self.client_repeat_until(request)
+        retry_after = self.retry_after(request) if now <= repeat_until else inf
+        if now + retry_after <= repeat_until:
             self.host.reject(request.number, retry_after)
         else:
             self.host.fail(request.number)
         self.given_up_unsent.add(now, not request.tried_servers)
         self.record_result(self.remove_request(request.number), True, now)
 
+    def retry_after(self, request):
+        """How long the client of a rejected request is told to wait, in seconds."""
+        wait = request.request_class.latency_target * (0.2 + 0.3 * self.random_fraction())
+        return min(self.settings.max_retry_after, wait)
+
+    def client_repeat_until(self, request):
+        """The time until which a repeat by the client cannot cause a second execution; -inf if it always can.
+
+        The repeat is another request to the agent, which may queue it before it sends an attempt.
+        """
+        request_class = request.request_class
+        if not request.possible_executions or request_class.idempotency is Idempotency.IDEMPOTENT:
+            return inf
+        if (
+            request_class.idempotency is not Idempotency.DEDUPLICATED
+            or request_class.deduplication_scope is not DeduplicationScope.ALL
+        ):
+            return -inf
+        first_sent = min(sent for _, sent in request.possible_executions.values())
+        queue_time = MAX_QUEUE_TIME_RATIO * request_class.latency_target
+        return first_sent + request_class.deduplication_window - DEDUPLICATION_WINDOW_MARGIN_S - queue_time
+
     def remove_request(self, number):
         """Removes and returns the request; None if it is unknown."""
         self.queued_requests.pop(number, None)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from cartdeal.balancer import MAX_QUEUE_TIME_RATIO
 from cartdeal.balancer_types import Outcome, ServerState
-from tests.scene import TracingHost
+from tests.scene import MARKED_ALL, TracingHost
 
 
 def test_failover_failback_and_no_healthy_zone():
@@ -374,3 +375,16 @@
     host.answers_probes = False
     host.submit(1)
     assert any("probe" in line for line in host.lines) is sends_probe
+
+
+@pytest.mark.parametrize("age, is_rejected", [(0.4, True), (1.5, False), (1.9, False), (2.5, False)])
+def test_client_is_told_to_repeat_only_what_servers_still_recognise_then(age, is_rejected):
+    """Guards against a Retry-After that ends behind the deduplication window: the repeat ran again."""
+    host, retry_afters = TracingHost("a0", max_retry_after=2.0), []
+    assert host.submit(1, 3, timeout=9.0)
+    host.now += age
+    host.reject = lambda request, retry_after: retry_afters.append(retry_after)
+    host.balancer.give_up(host.balancer.requests[1], host.now)
+    assert bool(retry_afters) is is_rejected
+    queue_time = MAX_QUEUE_TIME_RATIO * MARKED_ALL.latency_target
+    assert all(age + each + queue_time < MARKED_ALL.deduplication_window for each in retry_afters)
