Close clients that pause in a request before others are left unaccepted

Cause: for room such a client was closed after 2 s at the earliest, and resting clients before it; new ones waited in the listen queue for longer than their requests have. Ruled out: processor time, servers.

Change: for room the client whose pause is longest, 0.3 s at least, is answered 503, before resting clients. While there is room the limits are as before. close_slowest is close_paused.

--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -77,7 +77,7 @@
             self.on_attempt_started,
             self.on_attempt_ended,
         )
-        self.budget.closers.append(self.front.close_slowest)  # the last resort, because it costs a request
+        self.budget.closers.append(self.front.close_paused)  # the last resort, because it costs a request
         self.discovery = DiscoveryClient(config, self.dispatch, lambda: self.reducer.list_version)
         self.peer_socket = self.open_peer_socket()
         self.effect_handlers = {
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -42,6 +42,7 @@
 
 FIRST_BYTE_TIMEOUT_S = 1.5  # for an unidentified client, from connecting to its first byte
 READ_PAUSE_TIMEOUT_S = 2.0  # the longest pause in the middle of a request
+MIN_PAUSE_FOR_CAPACITY_S = 0.3  # in the middle of a request, before its client may be closed for a new one
 REQUEST_READ_TIMEOUT_S = 6.0  # for a whole request, unless its client states a longer X-Timeout
 IDLE_TIMEOUT_S = 5.0  # longest pause between two requests of an identified client
 LINGER_TIMEOUT_S = 0.5  # how long input is discarded after a half-close
@@ -315,7 +316,7 @@
             if len(self.unidentified) * UNIDENTIFIED_DIVISOR > self.budget.max_connections:
                 self.close_unidentified()
             if len(self.clients) > MAX_CLIENT_SHARE * self.budget.max_connections:
-                self.close_idle() or self.close_slowest()
+                self.close_paused() or self.close_idle()
             # At the connection limit, clients wait in the listen queue.
             while not self.budget.acquire():
                 self.budget.capacity_freed.clear()
@@ -659,21 +660,19 @@
         self.end_connection(mid_request, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
         return True
 
-    def close_slowest(self) -> bool:
-        """Ends the client that has been sending one request for longest; false if there is none to end.
+    def close_paused(self) -> bool:
+        """Ends the client that has paused for longest in the middle of a request; false if there is none.
 
-        A client is chosen only if it has been sending for longer than READ_PAUSE_TIMEOUT_S.
+        A client is chosen only if its pause is longer than MIN_PAUSE_FOR_CAPACITY_S.
         """
-        now = monotonic()
-        slow = [
-            each
-            for each in self.clients
-            if each.is_sending_request and now > each.message_began_at + READ_PAUSE_TIMEOUT_S
+        paused_since = monotonic() - MIN_PAUSE_FOR_CAPACITY_S
+        paused = [
+            each for each in self.clients if each.is_sending_request and each.last_read_at < paused_since
         ]
-        slowest = min(slow, key=lambda each: each.message_began_at, default=None)
-        if slowest is None:
+        longest_paused = min(paused, key=lambda each: each.last_read_at, default=None)
+        if longest_paused is None:
             return False
-        self.end_connection(slowest, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
+        self.end_connection(longest_paused, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
         return True
 
     def close_idle(self) -> bool:
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from cartdeal.agent import front
+from cartdeal.agent.upstream import SPARE_DIVISOR
 from tests.scene import Deployment, encode_request, read_answer, until
 
 PIECE_COUNT = 8
@@ -168,6 +169,40 @@
         deployment.stop()
 
 
+def test_clients_that_stop_in_a_request_leave_room_for_prompt_ones(tmp_path, clock, bounded):
+    """Guards against clients left unaccepted while others that were served once hold all the room."""
+    deployment = Deployment(tmp_path, limits={"memory_mb": 64, "sockets": 96})
+    agent, stopped = deployment.agent.front, []
+    try:
+        for number in range(deployment.agent.budget.max_connections - 1):  # one is kept for the next accept
+            stopped.append(deployment.connect())
+            stopped[-1].sock.sendall(b"GET /read/x HTTP/1.1\r\nX: ")
+            until(lambda number=number: len(agent.clients) > number)
+            for each in agent.clients:
+                agent.identify(each)
+        until(lambda: all(each.mid_message for each in agent.clients))
+        clock.now += 0.4  # much less than the timeouts of the usual classes
+        assert deployment.ask()[0] == 200
+        ended = [each for each in stopped if each.has_unread_input()]
+        # Room for the new client, the accept after it, and what is spared when a server is connected to.
+        most = 2 + deployment.agent.budget.max_connections // SPARE_DIVISOR
+        assert 0 < len(ended) <= most and {read_answer(each)[0] for each in ended} == {503}
+    finally:
+        deployment.stop()
+
+
+def test_client_that_goes_on_writing_is_not_closed_for_capacity(deployment, clock):
+    """Guards against closing slow clients, whose pauses are short, for others."""
+    connection, client = connect_client(deployment, True)
+    write(connection, client, encode_request("/once/x", "POST", b"body")[:9])
+    for _ in range(20):
+        clock.now += 0.2
+        write(connection, client, b"x")
+        assert not deployment.agent.front.close_paused()
+    clock.now += 0.4
+    assert deployment.agent.front.close_paused()
+
+
 # Pipelined requests
 
 
