Reject a request of an unseen client that was never sent

A request given up because its client may have closed unseen was failed with 502 even if nothing of it had gone out: the attempt that was due counted as sent. It doesn't now, so such a request is rejected with 503, which is harmless to repeat; one that may have run is failed as before. The new test's case of a request that was never sent is the one that the form before would fail.

--- a/cartdeal/agent/effects.py
+++ b/cartdeal/agent/effects.py
@@ -218,7 +218,7 @@
             client.peer_has_ended = True
             self.front.disconnect(client)
         elif client is not None and client.may_have_ended_unseen():
-            self.run_event("on_client_unseen", (request,))
+            self.run_event("on_client_unseen", (request, attempt))
         self.reducer.now = max(self.reducer.now, monotonic())
         return self.reducer.may_send(request, attempt, server)
 
--- a/cartdeal/agent/reducer.py
+++ b/cartdeal/agent/reducer.py
@@ -368,9 +368,12 @@
             if pending.deadline > shutdown_deadline:
                 self.effects.append(("set_deadline_timer", number, shutdown_deadline))
 
-    def on_client_unseen(self, number: int):
+    def on_client_unseen(self, number: int, attempt: int):
         """An attempt is due, and the client of the request may have closed its connection unseen."""
         self.metrics.count("clients_unseen")
+        pending = self.requests.get(number)
+        if pending and pending.target_servers.pop(attempt, None):
+            pending.sent_count -= 1  # this one will not be sent
         self.give_up(number, "given up, since its client may have gone")
 
     def on_deadline_passed(self, number: int):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -358,3 +358,17 @@
     until(lambda: not deployment.agent.reducer.requests)
     assert deployment.ask("/once/x", "POST", X_Request_ID="left")[0] == 409
     assert deployment.received_paths() == ["/once/x?do=wait"]
+
+
+@pytest.mark.parametrize("earlier, status", [(False, "503"), (True, "502")])
+def test_request_of_an_unseen_client_is_rejected_only_if_it_never_ran(tmp_path, earlier, status):
+    """Guards against failing a request that was never sent, and against rejecting one that may have run."""
+    context = ReducerHarness(tmp_path)
+    context.send_request(MARK, non_idempotent=True)
+    if earlier:
+        context.reducer.requests[1].sent_count += 1  # by another attempt
+    context.run_event(0.0, "on_client_unseen", 1, 0)
+    assert context.lines[-1].split()[:4] == ["answer", "line", "1", status]
+    assert not context.reducer.may_send(1, 0, context.servers_by_attempt[1, 0])
+    context.end_attempt(1, 0, AttemptEndReason.NOT_SENT, Progress.NOT_CONNECTED)
+    assert not context.reducer.requests
