Parse a head that comes in one read in one piece

A head that begins and ends in one read is parsed at once; the line by line way remains for one that began in an earlier read.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -38,6 +38,7 @@
 
 DISCARD_BUFFER = bytearray(65536)  # receives input that is not parsed
 
+END_OF_HEAD = b"\r\n\r\n"
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 BODILESS_STATUSES = (*range(100, 200), 204, 304)
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:;.*)?\r\n")
@@ -180,9 +181,12 @@
     def end_of_piece(self, position: int, end: int) -> int:
         """The end of the input that belongs to the current message for sure.
 
-        A head is parsed line by line, because its end is known only when its last line has been parsed.
+        The rest of a head is parsed line by line: its end may have begun in the read before.
         """
-        if not (self.mid_message and self.is_head_complete):
+        if not self.mid_message:
+            head_end = self.buffer.find(END_OF_HEAD, position, end)
+            return end if head_end < 0 else head_end + len(END_OF_HEAD)
+        if not self.is_head_complete:
             return self.buffer.find(b"\n", position, end) + 1 or end
         if self.content_length is None or self.content_length <= self.body_bytes:
             return end
--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -663,17 +663,17 @@
     def close_paused(self) -> bool:
         """Ends the client that has paused for longest in the middle of a request; false if there is none.
 
-        A client is chosen only if its pause is longer than MIN_PAUSE_FOR_CAPACITY_S.
+        A client is chosen only if its pause is longer than MIN_PAUSE_FOR_CAPACITY_S and its input is all read.
         """
         paused_since = monotonic() - MIN_PAUSE_FOR_CAPACITY_S
         paused = [
             each for each in self.clients if each.is_sending_request and each.last_read_at < paused_since
         ]
-        longest_paused = min(paused, key=lambda each: each.last_read_at, default=None)
-        if longest_paused is None:
-            return False
-        self.end_connection(longest_paused, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
-        return True
+        for client in sorted(paused, key=lambda each: each.last_read_at):
+            if not client.has_unread_input():
+                self.end_connection(client, EndReason.CAPACITY, NO_CAPACITY_ANSWER)
+                return True
+        return False
 
     def close_idle(self) -> bool:
         """Ends the identified client that has been idle for longest; false if there is none."""
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -203,6 +203,19 @@
     assert deployment.agent.front.close_paused()
 
 
+def test_client_whose_input_is_unread_is_not_closed_for_capacity(deployment, clock):
+    """Guards against taking the agent's own delay for a client's pause in the middle of a request."""
+    connection, client = connect_client(deployment, True)
+    request = encode_request("/once/x", "POST", b"body")
+    write(connection, client, request[:9])
+    clock.now += 0.4
+    connection.sock.sendall(request[9:])
+    while not client.has_unread_input():
+        pass  # no other greenlet runs meanwhile
+    assert not deployment.agent.front.close_paused()
+    assert read_answer(connection)[0] == 200
+
+
 # Pipelined requests
 
 
