--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -663,7 +663,7 @@
     def close_paused(self) -> bool:
         """Ends the client that has paused for longest in the middle of a request; false if there is none.
 
-        A client is chosen only if its pause is longer than MIN_PAUSE_FOR_CAPACITY_S and its input is all read.
+        A client is chosen only if it pauses for over MIN_PAUSE_FOR_CAPACITY_S and all its input is read.
         """
         paused_since = monotonic() - MIN_PAUSE_FOR_CAPACITY_S
         paused = [
