Accept up to 16 clients a turn of the event loop, not one

Cause: one client was accepted for each turn of all other greenlets. With hundreds of connections whose input is parsed in pieces, a turn takes tens of milliseconds, and a new client waited one turn for each client before it in the listen queue.

Change: a batch of up to 16 is accepted before the others get their turn. `accept` is split into three steps.

--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -48,6 +48,8 @@
 LINGER_TIMEOUT_S = 0.5  # how long input is discarded after a half-close
 LINGERING_DIVISOR = 8  # one in this many connections may be lingering
 MAX_LISTEN_BACKLOG = 512  # connections that wait to be accepted
+ACCEPT_BATCH_SIZE = 16  # clients that are accepted before other greenlets get their turn
+ACCEPT_RETRY_PAUSE_S = 0.05  # after an accept that failed
 FINAL_ACCEPT_TIMEOUT_S = 0.2  # how long failing accepts are retried when the listener closes
 SWEEP_INTERVAL_S = 0.2  # between searches for connections whose time is up
 UNIDENTIFIED_DIVISOR = 4  # one in this many connections may belong to an unidentified client
@@ -311,27 +313,44 @@
         self.port = self.listener.getsockname()[1]
 
     def accept(self):
-        """Accepts clients until `stop_accepting`; runs in a greenlet of its own."""
+        """Accepts clients until `stop_accepting`; runs in a greenlet of its own.
+
+        Between two batches the other greenlets run once: requests that have been read are handled before
+        hundreds of new clients. With one client a batch, new clients would wait for as many turns as there
+        are clients before them, and a turn is long while many clients keep the parser busy.
+        """
         while self.is_accepting:
-            if len(self.unidentified) * UNIDENTIFIED_DIVISOR > self.budget.max_connections:
-                self.close_unidentified()
-            if len(self.clients) > MAX_CLIENT_SHARE * self.budget.max_connections:
-                self.close_paused() or self.close_idle()
-            # At the connection limit, clients wait in the listen queue.
-            while not self.budget.acquire():
-                self.budget.capacity_freed.clear()
-                # A connected client may become idle or slow later, so that it can be closed for a new one.
-                self.budget.capacity_freed.wait(SWEEP_INTERVAL_S)
-            if self.backlog_since is not None and not self.has_waiting_clients():
-                self.backlog_since = None
-            try:
-                self.accept_client()
-            except OSError as error:
-                if self.is_accepting:
-                    log.warning("accept failed", extra={"reason": str(error)})
-                    gevent.sleep(0.05)
-                continue
-            gevent.sleep(0)  # requests that have been read are handled before hundreds of new clients
+            for _ in range(ACCEPT_BATCH_SIZE):
+                self.accept_next()
+                if not self.is_accepting:
+                    return
+            gevent.sleep(0)
+
+    def accept_next(self):
+        """Waits for the next client and accepts it; a failure is logged."""
+        self.reserve_connection()
+        if self.backlog_since is not None and not self.has_waiting_clients():
+            self.backlog_since = None
+        try:
+            self.accept_client()
+        except OSError as error:
+            if self.is_accepting:
+                log.warning("accept failed", extra={"reason": str(error)})
+                gevent.sleep(ACCEPT_RETRY_PAUSE_S)
+
+    def reserve_connection(self):
+        """Acquires a connection from the budget, and closes others where clients hold too many.
+
+        At the connection limit, clients wait in the listen queue.
+        """
+        if len(self.unidentified) * UNIDENTIFIED_DIVISOR > self.budget.max_connections:
+            self.close_unidentified()
+        if len(self.clients) > MAX_CLIENT_SHARE * self.budget.max_connections:
+            self.close_paused() or self.close_idle()
+        while not self.budget.acquire():
+            self.budget.capacity_freed.clear()
+            # A connected client may become idle or slow later, so that it can be closed for a new one.
+            self.budget.capacity_freed.wait(SWEEP_INTERVAL_S)
 
     def on_stall(self, since: float):
         """Records that unread input and queued clients may have come at any time since `since`."""
