Grow the buffer of a body by half instead of doubling it

Cause, the second of two: 32 kB of a body without a stated length were held in 64 kB, of 65 kB in 128.

Change: the buffer grows by half of its size, by 4 kB at least.

Measured: tests/test_retries.py, both cases, fail before.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -253,7 +253,7 @@
         """Grows the buffer if it is nearly full; shrinks it again after a long body."""
         size = len(self.buffer)
         if size - self.body_end < MIN_READ_SPACE_BYTES:
-            size += max(MIN_READ_SPACE_BYTES, size)
+            size += max(MIN_READ_SPACE_BYTES, size // 2)
         elif not self.mid_message and size > MIN_READ_SPACE_BYTES:
             size = MIN_READ_SPACE_BYTES
         if size != len(self.buffer):
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent import socket
 
-from cartdeal.agent.connection import MAX_BODY_BYTES, Connection
+from cartdeal.agent.connection import MAX_BODY_BYTES, MIN_READ_SPACE_BYTES, Connection
 from cartdeal.agent.message import MalformedMessageError
 from cartdeal.agent.reducer import AttemptEndReason, Progress, Request
 from cartdeal.agent.upstream import Attempt, encode_request, milliseconds_left
@@ -121,6 +121,20 @@
     sender.kill()
 
 
+@pytest.mark.parametrize("body_bytes", [32_000, 65_000])
+def test_buffer_of_a_chunked_body_is_at_most_half_longer_than_the_body(body_bytes):
+    """Guards against buffers that take far more of the memory limit than is claimed for them."""
+    connection, server_socket = connection_pair()
+    chunk = b"%x\r\n" % body_bytes + bytes(body_bytes)
+    sender = gevent.spawn(server_socket.sendall, HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk)
+    while connection.body_end < body_bytes:
+        assert connection.receive(5.0)
+    reader = gevent.spawn(connection.receive, 5.0)  # makes room for the rest and waits for it
+    gevent.sleep(0)
+    assert len(connection.buffer) <= 1.5 * body_bytes + 2 * MIN_READ_SPACE_BYTES
+    gevent.killall([sender, reader])
+
+
 @pytest.mark.parametrize(
     "behaviour, answer",
     [("open", (200, b"one")), ("empty", (200, b"")), ("torn", (502, b"")), ("unending", (502, b""))],
