Look at an attempt's client as the last step before its write

Cause, by reading; it was not caught in the act: the last look whether an attempt may be sent came before an idle connection was taken, the request encoded and the attempt counted. A process that is stopped in between writes when it goes on.

Change: the request is encoded first, and the look comes right before each system call that writes. What an exchange writes is an object now (OutgoingMessage, AttemptMessage) in place of two functions; one test passes such an object, its checks are as before. The invariants hear of an attempt after its first byte.

Measured: the new test, on a new and on a kept connection, fails before.

--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -103,6 +103,50 @@
         return AttemptResult(reason, self.progress, monotonic() - self.started_at, detail=detail)
 
 
+class OutgoingMessage:
+    """What an exchange writes to a server: a probe, or an attempt of a request."""
+
+    def __init__(self, text: bytes):
+        """`text`: all bytes of the message."""
+        self.text = text
+
+    def encode(self) -> bytes:
+        """The bytes to write; called right before they are written."""
+        return self.text
+
+    def check_may_send(self):
+        """Raises AttemptNotSentError if the message may not be sent any more."""
+
+    def on_started(self):
+        """Called right after the first byte is sent."""
+
+
+class AttemptMessage(OutgoingMessage):
+    """The bytes of an attempt."""
+
+    def __init__(
+        self, pool: "UpstreamPool", request_number: int, attempt_number: int, server: int, request, deadline
+    ):
+        """`deadline`: of the request, in monotonic seconds."""
+        self.pool, self.request, self.deadline = pool, request, deadline
+        self.numbers = request_number, attempt_number, server
+        self.timeout_ms = 0  # that the server is told
+
+    def encode(self) -> bytes:
+        """The request with the time that is left."""
+        self.timeout_ms = milliseconds_left(self.deadline)
+        return encode_request(self.request, self.timeout_ms)
+
+    def check_may_send(self):
+        """Raises AttemptNotSentError if the attempt is no longer allowed."""
+        if not self.pool.may_send(*self.numbers):
+            raise AttemptNotSentError
+
+    def on_started(self):
+        """Passes on the timeout that the server was told."""
+        self.pool.on_attempt_started(*self.numbers, self.timeout_ms / 1000)
+
+
 class UpstreamPool:
     """Sends attempts and probes, each in a greenlet of its own, on connections that it keeps for reuse.
 
@@ -120,7 +164,7 @@
     ):
         """`may_send(request, attempt, server)` tells whether an attempt may still be sent.
 
-        `on_attempt_started(request, attempt, server, timeout_s)` is called right before its first byte, with
+        `on_attempt_started(request, attempt, server, timeout_s)` is called right after its first byte, with
         the timeout that the server is told. `on_attempt_ended(request, server, attempt, result, load)` is
         called once for each attempt.
         """
@@ -182,18 +226,12 @@
     def run_attempt(self, attempt, request_number, attempt_number, server, address, request, deadline):
         """Performs an attempt and dispatches its result; runs in a greenlet of its own."""
 
-        def make_request():
-            timeout_ms = milliseconds_left(deadline)
-            self.on_attempt_started(request_number, attempt_number, server, timeout_ms / 1000)
-            return encode_request(request, timeout_ms)
-
         result = self.exchange(
             attempt,
             server,
             address,
             deadline,
-            make_request,
-            lambda: self.may_send(request_number, attempt_number, server),
+            AttemptMessage(self, request_number, attempt_number, server, request, deadline),
         )
         del self.attempts[request_number, attempt_number]
         if result.reason is not AttemptEndReason.ANSWERED or result.status != 200:
@@ -223,7 +261,7 @@
         attempt = Attempt()
         deadline = attempt.started_at + PROBE_TIMEOUT_FACTOR * self.connect_timeout
         request_bytes = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (self.probe_path, address.encode())
-        result = self.exchange(attempt, server, address, deadline, lambda: request_bytes)
+        result = self.exchange(attempt, server, address, deadline, OutgoingMessage(request_bytes))
         if result.reason in (AttemptEndReason.CONNECTION_BROKEN, AttemptEndReason.TIMED_OUT):
             self.close_idle(server)  # connections to a machine that does not answer stay silent, or break
         self.dispatch("on_probe_ended", server, result, self.parse_load(result.body))
@@ -239,29 +277,19 @@
         return load_report(report.outstanding, report.throughput, report.backlog, report.recent_ms)
 
     def exchange(
-        self,
-        attempt: Attempt,
-        server: int,
-        address: str,
-        deadline: float,
-        make_request,
-        may_send=lambda: True,
+        self, attempt: Attempt, server: int, address: str, deadline: float, message: OutgoingMessage
     ) -> AttemptResult:
-        """Writes one request and reads its whole answer; a failure is returned in the result, not raised.
-
-        `make_request()` returns the bytes to write; it is called right before they are written.
-        """
+        """Writes one request and reads its whole answer; a failure is returned in the result, not raised."""
         answer, attempt.is_started = None, True
         try:
             if attempt.is_cancelled:
                 return attempt.make_result(AttemptEndReason.CANCELLED)
-            self.check_may_send(may_send)
+            message.check_may_send()
             attempt.connection = self.take_idle(server, address)
             if attempt.connection is None:
                 attempt.connection = self.connect(server, address, deadline)
-                # Connecting may have taken seconds. No other greenlet runs from here to the first byte.
-                self.check_may_send(may_send)
-            self.write(attempt, make_request(), deadline, may_send)
+            # Connecting may have taken seconds. No other greenlet runs from here to the first byte.
+            self.write(attempt, message, deadline)
             answer = self.read(attempt, deadline)
             if answer is None:
                 return attempt.make_result(AttemptEndReason.CONNECTION_BROKEN, "ended early")
@@ -306,25 +334,24 @@
             elif connection:
                 connection.close()
 
-    def check_may_send(self, may_send):
-        """Raises AttemptNotSentError if the attempt may no longer be sent."""
-        if not may_send():
-            raise AttemptNotSentError
-
-    def write(self, attempt: Attempt, data: bytes, deadline: float, may_send):
+    def write(self, attempt: Attempt, message: OutgoingMessage, deadline: float):
         """Writes a request and records the attempt's progress. Raises what the socket raises."""
-        sock, rest = attempt.connection.sock, memoryview(data)
+        sock, rest = attempt.connection.sock, memoryview(message.encode())
         sock.settimeout(0.0)
         while rest:
+            # Nothing comes between this check and the system call: if the process is stopped there, the
+            # client may be gone when it goes on. A server starts with the last byte of a request: after a
+            # delay beyond the deduplication window it must not be sent.
+            message.check_may_send()
             try:
                 rest = rest[sock.send(rest) :]
             except OSError as error:
                 self.wait_to_write(sock, error, deadline)
-                # A server starts with the last byte of a request: after a delay beyond the
-                # deduplication window it must not be sent.
-                self.check_may_send(may_send)
                 continue
+            is_first = attempt.progress is Progress.NOT_CONNECTED
             attempt.progress = Progress.PARTLY_WRITTEN if rest else Progress.WRITTEN
+            if is_first:
+                message.on_started()
 
     def wait_to_write(self, sock, error: OSError, deadline: float):
         """Waits until a failed write may succeed; raises the error if waiting does not help."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,7 @@
 from gevent import socket
 from gevent.event import Event
 
+from cartdeal.agent import upstream
 from cartdeal.agent.configuration import ServerEntry, ServerList
 from cartdeal.agent.reducer import AttemptEndReason, AttemptResult, Progress
 from tests.fleet.test_admission import MARK as ADMISSION_MARK
@@ -128,6 +129,29 @@
     assert not deployment.received_paths() and not deployment.agent.reducer.requests
 
 
+@pytest.mark.parametrize("is_reused", [False, True])
+def test_nothing_is_sent_if_the_client_closed_while_the_attempt_was_encoded(
+    deployment, monkeypatch, is_reused
+):
+    """Guards against a check of the client long before the write: the process may be stopped in between."""
+    if is_reused:
+        assert deployment.ask("/read/first")[0] == 200
+        (idle,) = deployment.agent.upstream.idle.values()
+        idle[0].last_active_at -= 1.0  # a connection that was just used isn't used again
+    client, encode = deployment.connect(), upstream.encode_request
+
+    def close_and_encode(*arguments):
+        client.close()
+        return encode(*arguments)
+
+    monkeypatch.setattr(upstream, "encode_request", close_and_encode)
+    client.sock.sendall(encode_request("/once/x", "POST"))
+    until(lambda: deployment.agent.metrics.counts["clients_gone"])
+    until(lambda: not deployment.agent.upstream.attempts)
+    assert deployment.ask("/read/last")[0] == 200
+    assert deployment.received_paths() == ["/read/first"] * is_reused + ["/read/last"]
+
+
 @pytest.mark.parametrize("ends", ["cancel", "overdue"])
 def test_nothing_is_sent_if_the_attempt_was_cancelled_while_connecting(deployment, late, ends):
     client = deployment.connect()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -10,7 +10,7 @@
 from cartdeal.agent.connection import MAX_BODY_BYTES, MIN_READ_SPACE_BYTES, Connection
 from cartdeal.agent.message import MalformedMessageError
 from cartdeal.agent.reducer import AttemptEndReason, Progress, Request
-from cartdeal.agent.upstream import Attempt, encode_request, milliseconds_left
+from cartdeal.agent.upstream import Attempt, OutgoingMessage, encode_request, milliseconds_left
 from examples.toy import Server
 from tests.scene import Deployment, until
 
@@ -167,11 +167,9 @@
         upstream.keep_idle(0, connection)
         connection.last_active_at -= 1.0
     deadline = monotonic() + time_left
-
-    def request_bytes():
-        return encode_request(request, milliseconds_left(deadline))
-
-    result = upstream.exchange(Attempt(), 0, address, deadline, request_bytes)
+    message = OutgoingMessage(b"")
+    message.encode = lambda: encode_request(request, milliseconds_left(deadline))
+    result = upstream.exchange(Attempt(), 0, address, deadline, message)
     assert (result.reason, result.progress) == (AttemptEndReason.TIMED_OUT, Progress.NOT_CONNECTED)
     assert result.outcome().never_ran and not deployment.received_paths()
     until(lambda: not any(server.connections for server in deployment.servers))
