--- a/tests/fleet/test_admission.py
+++ b/tests/fleet/test_admission.py
@@ -8,8 +8,8 @@
 
 from cartdeal.agent.admission import request_digest
 from cartdeal.agent.configuration import ServerEntry, ServerList
-from cartdeal.agent.front import hash_key
 from cartdeal.agent.reducer import AttemptEndReason, AttemptResult, Progress, Reducer, Request
+from cartdeal.agent.request_parser import hash_key
 from cartdeal.fleet import configuration
 from cartdeal.fleet.effects import DeliverDecision
 from cartdeal.fleet.idempotency import AdmissionDecision, AdmissionRequest
--- a/tests/fleet/test_disabled.py
+++ b/tests/fleet/test_disabled.py
@@ -13,7 +13,7 @@
 IMPORTS = """
     cartdeal cartdeal.agent cartdeal.agent.configuration cartdeal.agent.connection cartdeal.agent.effects
     cartdeal.agent.connection_budget cartdeal.agent.request_ids cartdeal.agent.message cartdeal.agent.surplus
-    cartdeal.agent.server_addresses
+    cartdeal.agent.server_addresses cartdeal.agent.client_connection cartdeal.agent.request_parser
     cartdeal.agent.front cartdeal.agent.reducer cartdeal.agent.discovery cartdeal.agent.upstream
     cartdeal.agent.start cartdeal.balancer cartdeal.settings cartdeal.balancer_types cartdeal.watch_schedule
     cartdeal.routing_state cartdeal.agent.start_times cartdeal.agent.system_errors
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -4,6 +4,7 @@
 import pytest
 
 from cartdeal.agent import front, upstream
+from cartdeal.agent.client_connection import EndReason
 from cartdeal.agent.invariants import Destination, Invariant, InvariantMonitor
 from cartdeal.agent.metrics import Metrics
 from cartdeal.balancer_types import DeduplicationScope, Idempotency, RequestClass
@@ -170,7 +171,7 @@
     client.sock.sendall(encode_request()[:30])
     until(lambda: any(each.mid_message for each in deployment.agent.front.clients))
     (connection,) = deployment.agent.front.clients
-    deployment.agent.front.end_connection(connection, front.EndReason.CAPACITY, front.NO_CAPACITY_ANSWER)
+    deployment.agent.front.end_connection(connection, EndReason.CAPACITY, front.NO_CAPACITY_ANSWER)
     assert read_answer(client)[0] == 503 and read_answer(client) is None
     client.close()
     until(lambda: not deployment.agent.front.lingering)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,8 +13,8 @@
 import pytest
 from gevent import socket
 
-from cartdeal.agent import front
-from cartdeal.agent.front import ClientConnection
+from cartdeal.agent import client_connection, front
+from cartdeal.agent.client_connection import ClientConnection
 from tests.scene import Deployment, config_file, encode_request, read_answer, until
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -75,14 +75,14 @@
         assert deployment.ask(connection=connection)[0] == 200
     crosses(connection)
     end(agent)
-    monkeypatch.setattr(front, "IDLE_TIMEOUT_S", 0.0)  # the sweep ends it if nothing else did
+    monkeypatch.setattr(client_connection, "IDLE_TIMEOUT_S", 0.0)  # the sweep ends it if nothing else did
     assert ends_in_order(deployment, connection)
     connection.close()
     until(lambda: not agent.lingering)
 
 
 def test_request_crossing_the_last_answer_does_not_reset_it(deployment, crosses, monkeypatch):
-    monkeypatch.setattr(front, "LINGER_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 60.0)
     agent, connection = deployment.agent.front, deployment.connect()
     assert deployment.ask(connection=connection)[0] == 200
     agent.is_ending = True
@@ -194,7 +194,7 @@
 
 
 def test_lingering_clients_are_limited_in_number_and_closed_for_capacity(deployment, monkeypatch):
-    monkeypatch.setattr(front, "LINGER_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 60.0)
     agent, budget = deployment.agent.front, deployment.agent.budget
     connections = [refused_connection(deployment) for _ in range(3)]
     assert len(agent.lingering) == 3 and not agent.clients and not agent.unidentified
@@ -211,14 +211,14 @@
 
 def test_lingering_clients_are_limited_in_bytes_and_time(deployment, monkeypatch):
     agent, connection = deployment.agent.front, refused_connection(deployment)
-    monkeypatch.setattr(front, "LINGER_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 60.0)
     until(lambda: agent.lingering)
     with pytest.raises(OSError):
         for _ in range(1000):
             connection.sock.sendall(bytes(65536))
     assert not agent.lingering
     connection = refused_connection(deployment)
-    monkeypatch.setattr(front, "LINGER_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 0.0)
     until(lambda: not agent.lingering)
 
 
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent import socket
 
-from cartdeal.agent import front
+from cartdeal.agent import client_connection, front, request_parser
 from cartdeal.agent.upstream import SPARE_DIVISOR
 from tests.scene import Deployment, encode_request, read_answer, until
 
@@ -25,7 +25,7 @@
         return self.now
 
 
-class CountingConnection(front.ClientConnection):
+class CountingConnection(client_connection.ClientConnection):
     """Counts its reads."""
 
     reads = 0
@@ -40,7 +40,8 @@
 def clock(monkeypatch):
     monkeypatch.setattr(front, "ClientConnection", CountingConnection)
     clock = Clock()
-    monkeypatch.setattr(front, "monotonic", clock)
+    for module in (front, client_connection, request_parser):
+        monkeypatch.setattr(module, "monotonic", clock)
     monkeypatch.setattr(front.StallDetector, "earliest_arrival", lambda detector, now: now)
     monkeypatch.setattr(front, "SWEEP_INTERVAL_S", 1e6)
     return clock
@@ -114,7 +115,7 @@
     while not client.is_lingering:
         write(connection, client, b"x")
         pass_time(deployment, clock, 0.4)
-    assert clock.now - started_at < front.REQUEST_READ_TIMEOUT_S + 1.0
+    assert clock.now - started_at < client_connection.REQUEST_READ_TIMEOUT_S + 1.0
     assert read_answer(connection)[0] == 408 and read_answer(connection) is None
 
 
@@ -163,7 +164,7 @@
             gevent.sleep(0)
         assert deployment.ask()[0] == 200
         assert budget.connection_count <= budget.max_connections
-        pass_time(deployment, clock, front.REQUEST_READ_TIMEOUT_S + 1.0)
+        pass_time(deployment, clock, client_connection.REQUEST_READ_TIMEOUT_S + 1.0)
         assert {read_answer(each)[0] for each in slow} <= {408, 503}
     finally:
         deployment.stop()
@@ -233,11 +234,11 @@
     (client,) = deployment.agent.front.clients
     requests = [encode_request(f"/read/{n}", X_Fill="x" * 400) for n in range(400)]
     sender = gevent.spawn(connection.sock.sendall, b"".join(requests))
-    until(lambda: len(client.messages) >= front.MAX_PIPELINED_REQUESTS)
+    until(lambda: len(client.messages) >= client_connection.MAX_PIPELINED_REQUESTS)
     gevent.sleep(0.3)
     assert (
         client.has_unread_input()
-        and len(client.messages) < front.MAX_PIPELINED_REQUESTS + 4096 / len(requests[0]) + 1
+        and len(client.messages) < client_connection.MAX_PIPELINED_REQUESTS + 4096 / len(requests[0]) + 1
     )
     deployment.servers[0].released.set()
     assert [read_answer(connection)[0] for _ in range(401)] == [200] * 401
@@ -320,7 +321,7 @@
     connection = deployment.connect()
     earlier = [
         encode_request(f"/read/{n}?do=wait", X_Fill="x" * 4000)
-        for n in range(front.MAX_PIPELINED_REQUESTS + 3)
+        for n in range(client_connection.MAX_PIPELINED_REQUESTS + 3)
     ]
     connection.sock.sendall(b"".join(earlier) + encode_request("/read/late", X_Timeout="300m"))
     (client,) = until_some(lambda: deployment.agent.front.clients)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -13,8 +13,8 @@
 from gevent import socket, subprocess
 
 from cartdeal.agent.connection import MAX_BODY_BYTES, Connection
-from cartdeal.agent.front import hash_key
 from cartdeal.agent.log_output import MAX_LINES_PER_SECOND, RateLimitFilter
+from cartdeal.agent.request_parser import hash_key
 from cartdeal.agent.start import MAX_DEADLINE_WAIT_S, SHUTDOWN_MARGIN_S, shutdown_duration
 from cartdeal.balancer_types import LoadReport, Outcome
 from cartdeal.settings import ClassSettings, Settings
@@ -384,7 +384,7 @@
 
 
 def test_unidentified_clients_get_few_connections_and_little_time(deploy, monkeypatch):
-    monkeypatch.setattr("cartdeal.agent.front.FIRST_BYTE_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("cartdeal.agent.client_connection.FIRST_BYTE_TIMEOUT_S", 0.05)
     deployment = deploy(limits={"memory_mb": 64, "sockets": 96})
     front, identified = deployment.agent.front, [deployment.connect() for _ in range(4)]
     for client in identified:
@@ -396,7 +396,7 @@
     )
     partial = deployment.connect()
     partial.sock.sendall(b"GET /read/x HT")
-    monkeypatch.setattr("cartdeal.agent.front.READ_PAUSE_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("cartdeal.agent.client_connection.READ_PAUSE_TIMEOUT_S", 0.05)
     assert all(read_answer(each) is None for each in silent)
     assert read_answer(partial)[0] == 408 and read_answer(partial) is None
     assert len(front.clients) <= 5
@@ -412,7 +412,7 @@
 
 
 def test_partial_request_and_idle_connection_time_out(deploy, monkeypatch):
-    monkeypatch.setattr("cartdeal.agent.front.READ_PAUSE_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("cartdeal.agent.client_connection.READ_PAUSE_TIMEOUT_S", 0.05)
     deployment = deploy()
     connection, idle = deployment.connect(), deployment.connect()
     for each in (connection, idle):
@@ -420,7 +420,7 @@
     connection.sock.sendall(b"GET /read/x HT")
     assert read_answer(connection)[0] == 408 and read_answer(connection) is None
     assert len(deployment.agent.front.clients) == 1
-    monkeypatch.setattr("cartdeal.agent.front.IDLE_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("cartdeal.agent.client_connection.IDLE_TIMEOUT_S", 0.05)
     assert read_answer(idle) is None and not deployment.agent.front.clients
 
 
@@ -619,11 +619,11 @@
     assert deployment.ask("/once/x", "POST") == (503, b"")
     del deployment.agent.upstream.write
     assert "attempt died" in caplog.text and deployment.ask() == (200, b"s0 ")
-    deployment.agent.front.parse_request = None
+    deployment.agent.front.request_parser.parse = None
     connection = deployment.connect()
     connection.sock.sendall(encode_request() + encode_request() + encode_request()[:20])
     assert [read_answer(connection)[0] for _ in range(2)] == [503] * 2 and read_answer(connection) is None
-    del deployment.agent.front.parse_request
+    del deployment.agent.front.request_parser.parse
     assert deployment.ask() == (200, b"s0 ")
 
 
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -9,11 +9,11 @@
 import pytest
 from gevent import socket, subprocess
 
-from cartdeal.agent import discovery, effects, front, request_ids
+from cartdeal.agent import discovery, effects, request_ids, request_parser
+from cartdeal.agent.client_connection import ClientConnection
 from cartdeal.agent.connection import MAX_BODY_BYTES
 from cartdeal.agent.discovery import ListStream
 from cartdeal.agent.effects import CONNECTION_MEMORY_MB
-from cartdeal.agent.front import ClientConnection
 from cartdeal.agent.upstream import ServerConnection
 from tests.scene import Deployment, encode_request, read_answer, until
 
@@ -357,7 +357,7 @@
     fields = [name.format(number) + ": 1\r\n" for number in range(600)]
     client.sock.sendall(b"GET /read/x HTTP/1.1\r\n" + "".join(fields).encode() + b"X-Last: 1\r\n")
     until(lambda: connection.discards_input or is_read(connection))
-    assert len(connection.message.headers) <= len(front.REQUEST_HEADERS)
+    assert len(connection.message.headers) <= len(request_parser.REQUEST_HEADERS)
     if "{}" in name and not name.startswith("x-"):
         assert read_answer(client)[0] == 400
 
