Give each turn of the loop to eight clients with deferred input at most

Cause: between two pieces of deferred input `serve` yielded only if no answer was awaited, as a read would wait then. A read of input that is there doesn't. And where hundreds have such input, each had a piece parsed a turn.

Change: it yields after each piece, and at most eight clients parse a piece in a turn; the others queue for it.

Measured: test_deferred_input_of_few_clients_is_parsed_in_a_turn fails before (704 and 40 reads in a turn; 8 allowed).

--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -22,6 +22,7 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 
 from cartdeal.agent.client_connection import ClientConnection, EndReason
 from cartdeal.agent.connection import is_ready
@@ -36,6 +37,7 @@
 LINGERING_DIVISOR = 8  # one in this many connections may be lingering
 MAX_LISTEN_BACKLOG = 512  # connections that wait to be accepted
 ACCEPT_BATCH_SIZE = 16  # clients that are accepted before other greenlets get their turn
+DEFERRED_INPUT_READERS = 8  # clients whose deferred input may be parsed in one turn of the event loop
 ACCEPT_RETRY_PAUSE_S = 0.05  # after an accept that failed
 FINAL_ACCEPT_TIMEOUT_S = 0.2  # how long failing accepts are retried when the listener closes
 SWEEP_INTERVAL_S = 0.2  # between searches for connections whose time is up
@@ -90,6 +92,7 @@
         # Oldest first; refused clients are added at the end.
         self.unidentified: dict[ClientConnection, None] = {}
         self.is_accepting, self.is_ending, self.clients_changed = True, False, Event()
+        self.deferred_input_turns = BoundedSemaphore(DEFERRED_INPUT_READERS)
         self.is_closing_idle = False  # whether clients between requests are closed at once
         # close_lingering closes connections that close_unidentified and close_idle have half-closed.
         budget.closers += self.close_lingering, self.close_unidentified, self.close_idle
@@ -180,9 +183,12 @@
         try:
             while self.receive(client):
                 self.start_next_request(client)
-                if not client.awaits_answer:
-                    # A read of input that is already there does not yield: a client whose requests are
-                    # answered at once and come without a pause would starve the others.
+                # A read of input that is already there does not yield: a client whose input comes without a
+                # pause would starve the others.
+                if client.unparsed:
+                    with self.deferred_input_turns:
+                        gevent.sleep(0)
+                elif not client.awaits_answer:
                     gevent.sleep(0)
             client.peer_has_ended = True
         except OSError:
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -1,28 +1,38 @@
-"""New clients are accepted promptly, also while many others keep the agent busy."""
+"""New and usual clients get their turn promptly while others send all the time."""
 
 import subprocess
 import sys
 
 import gevent
+import pytest
 
-from cartdeal.agent.front import ACCEPT_BATCH_SIZE
+from cartdeal.agent.client_connection import ClientConnection
+from cartdeal.agent.front import ACCEPT_BATCH_SIZE, DEFERRED_INPUT_READERS
 from tests.scene import encode_request, read_answer
 
 WAITING_CLIENTS = 64
 MAX_TURNS = 16  # until all of them are accepted; with one client a turn it takes as many turns as clients
 FLOOD_TIMEOUT_S = 60.0
+FLOODING_CLIENTS = 40
+TINY_CHUNKS = b"1\r\nx\r\n" * 4000
+
+
+def stop_accepting(deployment):
+    """Ends the greenlet that accepts clients; returns another one, which the test is to start."""
+    front = deployment.agent.front
+    next(task for task in deployment.agent.background_tasks if front.accept in task.args).kill()
+    return gevent.Greenlet(front.accept)
 
 
 def test_clients_in_the_listen_queue_are_accepted_several_a_turn(deploy, bounded):
     """Guards against new clients that wait a turn of all busy connections for each client before them."""
     deployment = deploy()
     front = deployment.agent.front
-    accepting = next(task for task in deployment.agent.background_tasks if front.accept in task.args)
-    accepting.kill()
+    accepting = stop_accepting(deployment)
     waiting = [deployment.connect() for _ in range(WAITING_CLIENTS)]
     for client in waiting:
         client.sock.sendall(encode_request())
-    accepting = gevent.spawn(front.accept)
+    accepting.start()
     accepted_by_turn = []
     while sum(accepted_by_turn) < WAITING_CLIENTS and len(accepted_by_turn) < WAITING_CLIENTS:
         before = len(front.clients)
@@ -33,6 +43,35 @@
     accepting.kill()
 
 
+@pytest.mark.parametrize("awaits_answer", [False, True])
+def test_deferred_input_of_few_clients_is_parsed_in_a_turn(deploy, bounded, monkeypatch, awaits_answer):
+    """Guards against usual clients that wait while others, which may await an answer, flood the parser."""
+    reads = []
+    receive = ClientConnection.receive
+
+    def counting_receive(client, timeout_s):
+        if client.unparsed:
+            reads.append(client)
+        return receive(client, timeout_s)
+
+    monkeypatch.setattr(ClientConnection, "receive", counting_receive)
+    deployment = deploy()
+    accepting = stop_accepting(deployment)
+    flood = encode_request("/once/x", "POST", Content_Length=None, Transfer_Encoding="chunked") + TINY_CHUNKS
+    clients = [deployment.connect() for _ in range(FLOODING_CLIENTS)]
+    for client in clients:
+        waiting = encode_request("/once/x?do=wait", "POST") if awaits_answer else b""
+        client.sock.sendall(waiting + flood)
+    accepting.start()
+    reads_by_turn = []
+    for _ in range(100):
+        reads.clear()
+        gevent.sleep(0)
+        reads_by_turn.append(len(reads))
+    assert 0 < max(reads_by_turn) <= DEFERRED_INPUT_READERS, reads_by_turn
+    accepting.kill()
+
+
 def test_usual_clients_are_served_beside_floods_of_tiny_chunks():
     """Guards against new clients that are left in the listen queue while others send one-byte chunks."""
     command = [sys.executable, "-m", "tests.chunk_flood"]
