Let others be served between the reads of an answer of tiny chunks

Cause: a read of input that is there doesn't yield, so an answer was read and parsed to its end in one go. A sleep of 0 between reads, tried first, changed nothing: the loop runs up to 50 ready greenlets before it polls sockets.

Change: a pause of 0.1 ms, after which sockets are polled, follows a read while over 4 kB of the message, and more than its body, were framing; also for complete lists from discovery. Other answers have no pause.

--- a/cartdeal/agent/connection.py
+++ b/cartdeal/agent/connection.py
@@ -34,6 +34,7 @@
 WRITE_TIMEOUT_S = 10.0  # how long a peer may take to accept the rest of a message
 MAX_SURPLUS_BYTES = 4096  # of each read, kept of the input behind a response
 MAX_DISCARDED_BYTES = 1 << 20  # input that is discarded after a half-close
+POLL_PAUSE_S = 0.0001  # after which the event loop polls all sockets; it doesn't after a sleep of 0
 
 
 DISCARD_BUFFER = bytearray(65536)  # receives input that is not parsed
@@ -171,6 +172,14 @@
             raise MalformedMessageError(431, f"a head of over {MAX_HEAD_BYTES} bytes")
         return True
 
+    def pause_if_costly(self):
+        """Lets other connections be served after a read of tiny chunks, which take long to parse.
+
+        A read of input that is already there does not yield.
+        """
+        if self.mid_message and self.framing_bytes > max(self.body_bytes, MIN_READ_SPACE_BYTES):
+            gevent.sleep(POLL_PAUSE_S)
+
     def parse(self, position: int, end: int):
         """Parses the input between two positions of the buffer, each message up to its exact end."""
         while position < end and (self.mid_message or self.may_begin_message(position, end)):
--- a/cartdeal/agent/discovery.py
+++ b/cartdeal/agent/discovery.py
@@ -126,6 +126,7 @@
             while not connection.messages:
                 if not receive_until(connection, deadline):
                     raise MalformedMessageError(400, "ended early")
+                connection.pause_if_costly()
             if connection.messages[0].status != 200:
                 raise MalformedMessageError(400, f"status {connection.messages[0].status}")
             server_list = decode_list(connection.messages[0].body)
--- a/cartdeal/agent/upstream.py
+++ b/cartdeal/agent/upstream.py
@@ -374,6 +374,7 @@
             self.last_read_at = monotonic()
             if connection.message.status >= 200:
                 attempt.progress = Progress.HEAD_RECEIVED
+            connection.pause_if_costly()
         connection.receive_surplus()
         answer = connection.messages.pop(0)
         has_stated_length = connection.content_length is not None
--- a/tests/test_unbounded.py
+++ b/tests/test_unbounded.py
@@ -11,7 +11,7 @@
 
 from cartdeal.agent import discovery, effects, request_ids, request_parser
 from cartdeal.agent.client_connection import ClientConnection
-from cartdeal.agent.connection import MAX_BODY_BYTES
+from cartdeal.agent.connection import MAX_BODY_BYTES, POLL_PAUSE_S
 from cartdeal.agent.discovery import ListStream
 from cartdeal.agent.effects import CONNECTION_MEMORY_MB
 from cartdeal.agent.upstream import ServerConnection
@@ -182,6 +182,29 @@
     receiver.kill()
 
 
+def test_answer_of_tiny_chunks_does_not_hold_up_other_connections(deployment, monkeypatch):
+    """Guards against usual requests that wait until all of such an answer is parsed."""
+    head, chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 40_000
+    monkeypatch.setitem(deployment.servers[0].RESPONSES, "tiny", head + chunks + b"0\r\n\r\n")
+    reads, reads_by_poll, receive = [], [], ServerConnection.receive
+
+    def counting_receive(connection, timeout_s):
+        reads.append(connection)
+        return receive(connection, timeout_s)
+
+    def count_by_poll():
+        while True:
+            gevent.sleep(POLL_PAUSE_S)
+            reads_by_poll.append(len(reads))
+            reads.clear()
+
+    monkeypatch.setattr(ServerConnection, "receive", counting_receive)
+    polls = gevent.spawn(count_by_poll)
+    assert deployment.ask("/once/x?do=tiny", "POST") == (200, b"x" * 40_000)
+    polls.kill()
+    assert sum(reads_by_poll) > 10 and max(reads_by_poll) <= 3, reads_by_poll
+
+
 def test_continuous_discovery_reads_do_not_starve_requests(deployment, monkeypatch):
     reads = []
 
