Accept one client a turn again: a batch turned usual clients away

Cause: accepted up to 16 clients a turn. A herd is then accepted faster than its first requests come, and the oldest are closed as silent when unidentified clients are over a quarter.

Change: one a turn, as before.

--- a/cartdeal/agent/front.py
+++ b/cartdeal/agent/front.py
@@ -36,7 +36,6 @@
 MIN_PAUSE_FOR_CAPACITY_S = 0.3  # in the middle of a request, before its client may be closed for a new one
 LINGERING_DIVISOR = 8  # one in this many connections may be lingering
 MAX_LISTEN_BACKLOG = 512  # connections that wait to be accepted
-ACCEPT_BATCH_SIZE = 16  # clients that are accepted before other greenlets get their turn
 DEFERRED_INPUT_READERS = 8  # clients whose deferred input may be parsed in one turn of the event loop
 ACCEPT_RETRY_PAUSE_S = 0.05  # after an accept that failed
 FINAL_ACCEPT_TIMEOUT_S = 0.2  # how long failing accepts are retried when the listener closes
@@ -100,17 +99,11 @@
         self.port = self.listener.getsockname()[1]
 
     def accept(self):
-        """Accepts clients until `stop_accepting`; runs in a greenlet of its own.
-
-        Between two batches the other greenlets run once: requests that have been read are handled before
-        hundreds of new clients. With one client a batch, new clients would wait for as many turns as there
-        are clients before them, and a turn is long while many clients keep the parser busy.
-        """
+        """Accepts clients until `stop_accepting`; runs in a greenlet of its own."""
         while self.is_accepting:
-            for _ in range(ACCEPT_BATCH_SIZE):
-                self.accept_next()
-                if not self.is_accepting:
-                    return
+            self.accept_next()
+            # Requests that have been read are handled before hundreds of new clients. Of clients that are
+            # accepted faster than their first requests come, the oldest would be closed as unidentified.
             gevent.sleep(0)
 
     def accept_next(self):
